--- /dev/null
+++ b/codec/src/main/kotlin/cassiaspindle/codec/SettingsReader.kt
@@ -0,0 +1,43 @@
+package cassiaspindle.codec
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.ServiceDocument
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.mapError
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Reads settings, keys and service documents and checks them against the schema. */
+object SettingsReader {
+    /** Reads the settings file at [path]; [ResultCode.SETTINGS_MISSING] or [ResultCode.SETTINGS_INVALID]. */
+    inline fun <reified Settings> read(path: Path): Result<Settings, Failure> =
+        text(path).flatMap { checked(it, ResultCode.SETTINGS_INVALID) }
+
+    /** Reads a service document; [ResultCode.DOCUMENT_INVALID] with the path where it breaks the schema. */
+    fun document(text: String): Result<ServiceDocument, Failure> = checked(text, ResultCode.DOCUMENT_INVALID)
+
+    /** Reads the key in the file at [path], without white space around it. */
+    fun key(path: Path): Result<String, Failure> = text(path).flatMap { content ->
+        val key = content.trim()
+        if (key.isEmpty()) Err(Failure(ResultCode.SETTINGS_MISSING, "$path: the key is empty")) else Ok(key)
+    }
+
+    /** The content of the file at [path]. */
+    fun text(path: Path): Result<String, Failure> = try {
+        Ok(Files.readString(path))
+    } catch (problem: IOException) {
+        Err(Failure(ResultCode.SETTINGS_MISSING, "$path: can't be read (${problem.javaClass.simpleName})"))
+    }
+
+    /** Checks [text] against the schema of [Message] and reads it. */
+    inline fun <reified Message> checked(text: String, code: ResultCode): Result<Message, Failure> {
+        val problem = SchemaCheck.problems(Message::class.java.simpleName, text).firstOrNull()
+        if (problem != null) return Err(Failure(code, problem.toString()))
+        return decodeJson<Message>(text).mapError { it.copy(code = code) }
+    }
+}
