Decide replication, the ledger, membership, routing and requests as pure calls

Cause: another front end has to be able to drive the decisions one call at a time. Change: replication with pre-vote, leader lease, learners and single membership changes; documents under compare-and-set; an order ledger; back-end leases; shortest chains over layer boundaries; the life of a request with attempts. Calls take a message and a time and return effects. Conclusion: no socket, file, format, coroutine or clock reading inside.

--- /dev/null
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/document/DocumentCheck.kt
@@ -0,0 +1,25 @@
+package cassiaspindle.control.document
+
+import cassiaspindle.schema.ServiceDocument
+import cassiaspindle.schema.Stage
+
+/** What the schema can't state about a service document. */
+object DocumentCheck {
+    /** The first contradiction in [document] with the path where it stands, or null. */
+    fun firstProblem(document: ServiceDocument): String? =
+        document.stages.withIndex().firstNotNullOfOrNull { (index, stage) ->
+            stageProblem(stage, last = index == document.stages.lastIndex)?.let { "/stages/$index: $it" }
+        } ?: duplicateCaller(document)
+
+    private fun stageProblem(stage: Stage, last: Boolean): String? = when {
+        (stage.model == null) == (stage.call == null) -> "exactly one of model and call is needed"
+        stage.call?.repeatable == false && !last -> "a call that may not be repeated must be the last stage"
+        else -> null
+    }
+
+    private fun duplicateCaller(document: ServiceDocument): String? = document.callers
+        .groupBy { it.account }
+        .entries
+        .firstOrNull { it.value.size > 1 }
+        ?.let { "/callers: account ${it.key} stands twice" }
+}
--- /dev/null
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlStateMachine.kt
@@ -0,0 +1,38 @@
+package cassiaspindle.control.group
+
+import cassiaspindle.control.document.DocumentRegistry
+import cassiaspindle.control.ledger.OrderLedger
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.replication.StateMachine
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.ControlCommandKind
+import cassiaspindle.schema.GroupState
+
+/** The replicated state of a group: documents in group 0, orders in the others. */
+class ControlStateMachine(retentionMilliseconds: Long) {
+    /** The service documents. */
+    val documents = DocumentRegistry()
+
+    /** The orders. */
+    val orders = OrderLedger(retentionMilliseconds)
+
+    /** The state as the function types that replication takes. */
+    fun functions() = StateMachine(
+        apply = ::apply,
+        capture = { orders.capture(documents.capture(GroupState())) },
+        restore = ::restore,
+    )
+
+    private fun apply(command: ControlCommand): CommandOutcome = when (command.kind) {
+        ControlCommandKind.APPLY_DOCUMENT -> command.document?.let { documents.apply(it, command.digest.orEmpty()) }
+        ControlCommandKind.RECORD_INTENT -> command.intent?.let(orders::recordIntent)
+        ControlCommandKind.RECORD_OUTCOME -> command.resolution?.let(orders::recordOutcome)
+        ControlCommandKind.NO_OPERATION, ControlCommandKind.CHANGE_MEMBERSHIP -> CommandOutcome(ResultCode.OK.number)
+    } ?: CommandOutcome(ResultCode.MALFORMED.number)
+
+    private fun restore(state: GroupState) {
+        documents.restore(state)
+        orders.restore(state)
+    }
+}
--- /dev/null
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/FirstStart.kt
@@ -0,0 +1,46 @@
+package cassiaspindle.control.group
+
+import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.Replica
+
+/** What a control replica with an empty log does. */
+sealed interface FirstStartDecision {
+    /** Not every replica has been heard yet. */
+    data object Wait : FirstStartDecision
+
+    /** The system begins with [membership], of which this replica is a voter. */
+    data class Found(val membership: GroupMembership) : FirstStartDecision
+
+    /** The system lives without this data folder: join as a learner. */
+    data object Join : FirstStartDecision
+}
+
+/**
+ * Tells the first start of a system from the return of a repaired VM with an empty disk.
+ *
+ * Every data folder has an identity of its own, and a system is founded by identities. A replica founds it once it has
+ * heard the identity of every other one; one that hears of a founded system belongs to it only where its own identity
+ * is among the voters. A repaired VM has a new identity and joins without a vote.
+ */
+class FirstStart(private val self: Replica, private val names: List<String>) {
+    private val heard = mutableMapOf(self.name to self)
+    private var founded: GroupMembership? = null
+
+    /** Takes the answer of [replica], with the [membership] it knows of, and decides. */
+    fun heard(replica: Replica, membership: GroupMembership?): FirstStartDecision {
+        heard[replica.name] = replica
+        if (membership != null) founded = membership
+        return decide()
+    }
+
+    /** The decision so far. */
+    fun decide(): FirstStartDecision {
+        val known = founded
+        return when {
+            known != null && self in known.voters -> FirstStartDecision.Found(known)
+            known != null -> FirstStartDecision.Join
+            heard.keys.containsAll(names) -> FirstStartDecision.Found(GroupMembership(names.map(heard::getValue)))
+            else -> FirstStartDecision.Wait
+        }
+    }
+}
--- /dev/null
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/GroupShard.kt
@@ -0,0 +1,69 @@
+package cassiaspindle.control.group
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.replication.AppliedCommand
+import cassiaspindle.replication.Proposal
+import cassiaspindle.replication.ReplicaGroup
+import cassiaspindle.replication.ReplicationOutput
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.ControlCommand
+
+/** One group with the commands that wait for their outcome; used under its shard lock. */
+internal class GroupShard(
+    val index: Int,
+    val group: ReplicaGroup,
+    val machine: ControlStateMachine,
+    private val sink: DurableSink,
+) {
+    private val waiting = mutableMapOf<Long, WaitingCommand>()
+
+    /** When this replica was first seen to lead without a break, or null. */
+    var leadsSinceMilliseconds: Long? = null
+        private set
+
+    fun noteLeadership(nowMilliseconds: Long) {
+        leadsSinceMilliseconds = if (group.leads) leadsSinceMilliseconds ?: nowMilliseconds else null
+    }
+
+    fun submit(command: ControlCommand, ticket: Long, nowMilliseconds: Long): List<ControlEffect> =
+        when (val proposal = group.propose(command, nowMilliseconds)) {
+            is Proposal.Refused -> listOf(refusal(ticket, ResultCode.NOT_LEADER))
+            Proposal.ChangePending -> listOf(refusal(ticket, ResultCode.MEMBERSHIP_CHANGE_PENDING))
+            is Proposal.Accepted -> {
+                waiting[proposal.index] = WaitingCommand(proposal.term, ticket)
+                effectsOf(proposal.output)
+            }
+        }
+
+    fun effectsOf(output: ReplicationOutput): List<ControlEffect> {
+        output.durable?.let { sink(index, it) }
+        val lost = if (group.leads) emptyList() else loseAll(output.applied)
+        return output.messages.map(ControlEffect::Send) + output.applied.flatMap(::effectsOfApplied) + lost
+    }
+
+    private fun effectsOfApplied(applied: AppliedCommand): List<ControlEffect> {
+        val published = applied.outcome.document?.let(ControlEffect::Publish)
+        val command = waiting.remove(applied.index)
+        val answer = command?.let {
+            if (it.term == applied.term) {
+                ControlEffect.Answer(it.ticket, applied.outcome)
+            } else {
+                refusal(it.ticket, ResultCode.LEADERSHIP_LOST)
+            }
+        }
+        return listOfNotNull(published, answer)
+    }
+
+    /** A replica that leads no more can't promise to see the outcome of what it proposed. */
+    private fun loseAll(applied: List<AppliedCommand>): List<ControlEffect> {
+        val decided = applied.map(AppliedCommand::index).toSet()
+        val lost = waiting.filterKeys { it !in decided }
+        waiting.keys.removeAll(lost.keys)
+        return lost.values.map { refusal(it.ticket, ResultCode.LEADERSHIP_LOST) }
+    }
+
+    private fun refusal(ticket: Long, code: ResultCode) =
+        ControlEffect.Answer(ticket, CommandOutcome(code.number), group.leader?.name)
+
+    private data class WaitingCommand(val term: Long, val ticket: Long)
+}
--- /dev/null
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/ledger/OrderLedger.kt
@@ -0,0 +1,108 @@
+package cassiaspindle.control.ledger
+
+import cassiaspindle.core.identity.OrderKey
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.GroupState
+import cassiaspindle.schema.OrderIntent
+import cassiaspindle.schema.OrderName
+import cassiaspindle.schema.OrderRecord
+import cassiaspindle.schema.OrderResolution
+import cassiaspindle.schema.OrderState
+
+/**
+ * The orders of one ledger group; part of its replicated state.
+ *
+ * Time is the wall clock of the leader that proposed an intent; it moves forward only, and decides which keys are
+ * too old and which records are dropped.
+ */
+class OrderLedger(private val retentionMilliseconds: Long) {
+    private val records = linkedMapOf<OrderName, OrderRecord>()
+    private var newestMilliseconds = 0L
+
+    /**
+     * Records the intent to run an order.
+     *
+     * [ResultCode.OK] goes to the request whose intent stands, and to no other: it alone may dispatch, once.
+     * [ResultCode.ORDER_KNOWN] gives the record that stood before.
+     */
+    fun recordIntent(intent: OrderIntent): CommandOutcome {
+        val known = records[intent.name]
+        return when {
+            known == null -> recordNew(intent)
+            known.intent.bodyDigest != intent.bodyDigest || known.intent.service != intent.service ->
+                CommandOutcome(ResultCode.ORDER_KEY_REUSED.number, digest = known.intent.bodyDigest)
+            known.intent.requestId == intent.requestId && known.state == OrderState.IN_PROGRESS ->
+                CommandOutcome(ResultCode.OK.number, order = known)
+            else -> CommandOutcome(ResultCode.ORDER_KNOWN.number, order = known)
+        }
+    }
+
+    /**
+     * Records the outcome of an order, or that it is in doubt.
+     *
+     * An order that has an outcome keeps it; the answer gives the record that stands.
+     */
+    fun recordOutcome(resolution: OrderResolution): CommandOutcome {
+        val known = records[resolution.name] ?: return CommandOutcome(ResultCode.UNKNOWN_ORDER.number)
+        if (!known.state.isFinal() && resolution.state != OrderState.IN_PROGRESS) {
+            records[resolution.name] =
+                known.copy(state = resolution.state, output = resolution.output, code = resolution.code)
+        }
+        return CommandOutcome(ResultCode.OK.number, order = records[resolution.name])
+    }
+
+    /** The record of [name], or null. */
+    fun find(name: OrderName): OrderRecord? = records[name]
+
+    /** All records whose outcome is not known. */
+    fun unsettled(): List<OrderRecord> = records.values.filter { !it.state.isFinal() }
+
+    /** Adds the orders to [state]. */
+    fun capture(state: GroupState): GroupState =
+        state.copy(orders = records.values.toList(), newestOrderMilliseconds = newestMilliseconds)
+
+    /** Replaces the orders by those in [state]. */
+    fun restore(state: GroupState) {
+        records.clear()
+        state.orders.associateByTo(records) { it.intent.name }
+        newestMilliseconds = state.newestOrderMilliseconds
+    }
+
+    private fun recordNew(intent: OrderIntent): CommandOutcome {
+        newestMilliseconds = maxOf(newestMilliseconds, intent.atMilliseconds)
+        val created = OrderKey.parse(intent.name.key)?.createdMilliseconds
+        if (created == null) return CommandOutcome(ResultCode.ORDER_KEY_INVALID.number)
+        if (created > newestMilliseconds + MAXIMUM_KEY_LEAD_MILLISECONDS) {
+            return CommandOutcome(ResultCode.ORDER_KEY_INVALID.number)
+        }
+        if (created <= oldestKeyMilliseconds()) return CommandOutcome(ResultCode.ORDER_KEY_TOO_OLD.number)
+        dropOld()
+        val record = OrderRecord(intent, OrderState.IN_PROGRESS)
+        records[intent.name] = record
+        return CommandOutcome(ResultCode.OK.number, order = record)
+    }
+
+    private fun oldestKeyMilliseconds(): Long = newestMilliseconds - retentionMilliseconds
+
+    /** Drops records whose keys would be refused as too old; one without an outcome stays for the operator. */
+    private fun dropOld() {
+        val iterator = records.values.iterator()
+        var inspected = 0
+        while (iterator.hasNext() && inspected < MAXIMUM_DROPS_PER_INTENT) {
+            val record = iterator.next()
+            val created = OrderKey.parse(record.intent.name.key)?.createdMilliseconds ?: 0
+            if (created > oldestKeyMilliseconds()) return
+            if (record.state.isFinal()) iterator.remove()
+            inspected++
+        }
+    }
+
+    private fun OrderState.isFinal(): Boolean = this == OrderState.DONE || this == OrderState.NOT_RUN
+
+    private companion object {
+        /** How far the clock of a caller may be ahead of the leader's. */
+        const val MAXIMUM_KEY_LEAD_MILLISECONDS = 300_000L
+        const val MAXIMUM_DROPS_PER_INTENT = 64
+    }
+}
--- /dev/null
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/session/EntrySessions.kt
@@ -0,0 +1,56 @@
+package cassiaspindle.control.session
+
+import cassiaspindle.core.concurrency.Sharded
+import cassiaspindle.schema.EntryAddress
+import cassiaspindle.schema.EntryHeartbeat
+import cassiaspindle.schema.EntryStatus
+
+private const val SHARDS = 8
+
+/**
+ * The leases of the entry VMs, held by the leader of group 0 in memory only.
+ *
+ * A new leader starts without any and learns them from the next heartbeats.
+ */
+class EntrySessions(private val leaseMilliseconds: Long) {
+    private val shards = Sharded(SHARDS) { mutableMapOf<String, Session>() }
+
+    /** Renews the lease that [heartbeat] asks for; an older incarnation changes nothing. */
+    fun renew(heartbeat: EntryHeartbeat, nowMilliseconds: Long) {
+        shards.withKey(heartbeat.name) { sessions ->
+            val known = sessions[heartbeat.name]
+            if (known == null || known.heartbeat.incarnation <= heartbeat.incarnation) {
+                sessions[heartbeat.name] = Session(heartbeat, nowMilliseconds + leaseMilliseconds)
+            }
+        }
+    }
+
+    /** Entry VMs that callers may use. */
+    fun addresses(nowMilliseconds: Long): List<EntryAddress> = live(nowMilliseconds)
+        .filter { !it.draining }
+        .map { EntryAddress(it.name, it.address, it.availabilityZone) }
+
+    /** Names of entry VMs with a lease that have not put document [sequence] in force. */
+    fun lacking(sequence: Long, nowMilliseconds: Long): List<String> =
+        live(nowMilliseconds).filter { it.documentSequence < sequence }.map(EntryHeartbeat::name)
+
+    /** Whether the entry VM [name] lives in [incarnation]. */
+    fun isLive(name: String, incarnation: Long, nowMilliseconds: Long): Boolean = shards.withKey(name) { sessions ->
+        sessions[name]?.let { it.heartbeat.incarnation == incarnation && it.endMilliseconds > nowMilliseconds } ?: false
+    }
+
+    /** The state for operators. */
+    fun status(nowMilliseconds: Long): List<EntryStatus> = live(nowMilliseconds).map {
+        EntryStatus(it.name, it.address, it.availabilityZone, it.documentSequence, it.draining)
+    }
+
+    private fun live(nowMilliseconds: Long): List<EntryHeartbeat> = shards
+        .mapEach { sessions ->
+            sessions.values.removeIf { it.endMilliseconds <= nowMilliseconds }
+            sessions.values.map(Session::heartbeat)
+        }
+        .flatten()
+        .sortedBy(EntryHeartbeat::name)
+
+    private data class Session(val heartbeat: EntryHeartbeat, val endMilliseconds: Long)
+}
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/admission/AccountLimits.kt
@@ -0,0 +1,35 @@
+package cassiaspindle.entry.admission
+
+import cassiaspindle.core.concurrency.Sharded
+import cassiaspindle.schema.AllowedCaller
+
+private const val SHARDS = 8
+
+/** Requests in flight of each client account at this entry VM. */
+class AccountLimits {
+    private val shards = Sharded(SHARDS) { mutableMapOf<String, Int>() }
+
+    /** Counts one more request of [caller], or gives false where its limit is reached. */
+    fun enter(service: String, caller: AllowedCaller): Boolean {
+        val key = key(service, caller.account)
+        return shards.withKey(key) { counts ->
+            val inFlight = counts[key] ?: 0
+            if (inFlight >= caller.concurrency) {
+                false
+            } else {
+                counts[key] = inFlight + 1
+                true
+            }
+        }
+    }
+
+    /** Counts one request of [account] less. */
+    fun leave(service: String, account: String) {
+        val key = key(service, account)
+        shards.withKey(key) { counts ->
+            counts.computeIfPresent(key) { _, inFlight -> if (inFlight > 1) inFlight - 1 else null }
+        }
+    }
+
+    private fun key(service: String, account: String) = "$service/$account"
+}
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/catalog/ServiceCatalog.kt
@@ -0,0 +1,64 @@
+package cassiaspindle.entry.catalog
+
+import cassiaspindle.core.concurrency.Sharded
+import cassiaspindle.schema.EntryAddress
+import cassiaspindle.schema.EntryNews
+import cassiaspindle.schema.ServiceDocument
+import cassiaspindle.schema.StoredDocument
+
+/**
+ * The service documents in force at this entry VM, its lease, and the entry VMs in use.
+ *
+ * Documents go forward in the order of acceptance only. Without a lease nothing is admitted: a newer document may be
+ * in force elsewhere.
+ */
+class ServiceCatalog {
+    private val shard = Sharded(1) { Contents() }
+
+    /** Sequence of the newest document in force, 0 before the first. */
+    val sequence: Long get() = shard.withIndex(0) { it.sequence }
+
+    /** Takes the reply to a heartbeat. */
+    fun renew(news: EntryNews) {
+        shard.withIndex(0) { contents ->
+            news.documents.forEach { contents.put(it) }
+            contents.sequence = maxOf(contents.sequence, news.documentSequence)
+            contents.leaseEndMilliseconds =
+                maxOf(contents.leaseEndMilliseconds, news.sentMilliseconds + news.leaseMilliseconds)
+            contents.addresses = news.addresses
+        }
+    }
+
+    /** Puts a pushed document in force where it is the next one; one after a gap waits for the next heartbeat. */
+    fun push(document: StoredDocument) {
+        shard.withIndex(0) { contents ->
+            if (document.sequence == contents.sequence + 1) {
+                contents.put(document)
+                contents.sequence = document.sequence
+            }
+        }
+    }
+
+    /** Whether the entry VM may admit requests at [nowMilliseconds]. */
+    fun hasLease(nowMilliseconds: Long): Boolean = shard.withIndex(0) { it.leaseEndMilliseconds > nowMilliseconds }
+
+    /** The document of [service] in force, or null. */
+    fun find(service: String): ServiceDocument? = shard.withIndex(0) { it.documents[service]?.document }
+
+    /** The entry VMs that callers may use, as the control leader sees them. */
+    fun addresses(): List<EntryAddress> = shard.withIndex(0) { it.addresses }
+
+    private class Contents {
+        val documents = mutableMapOf<String, StoredDocument>()
+        var sequence = 0L
+        var leaseEndMilliseconds = Long.MIN_VALUE
+        var addresses = emptyList<EntryAddress>()
+
+        fun put(document: StoredDocument) {
+            val known = documents[document.document.service]
+            if (known == null || known.sequence < document.sequence) {
+                documents[document.document.service] = document
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/ModelStageRun.kt
@@ -0,0 +1,140 @@
+package cassiaspindle.entry.request
+
+import cassiaspindle.entry.membership.BackEndView
+import cassiaspindle.entry.routing.Chain
+import cassiaspindle.entry.routing.ChainHop
+import cassiaspindle.schema.AttemptName
+import cassiaspindle.schema.ModelStage
+import cassiaspindle.schema.StepKind
+import cassiaspindle.schema.StepOutcome
+import cassiaspindle.schema.StepRequest
+import cassiaspindle.schema.StepResult
+
+/** What the result of a step leads to. */
+internal sealed interface StepAdvance {
+    /** Belongs to an abandoned attempt or was seen before; to be dropped. */
+    data object Late : StepAdvance
+
+    /** The next runner of the chain has to go on. */
+    data object NextHop : StepAdvance
+
+    /** The pass gave a token; [ended] where it was the last. */
+    data class Generated(val position: Int, val token: Long, val ended: Boolean) : StepAdvance
+
+    /** The runner did not run the step. */
+    data object Refused : StepAdvance
+
+    /** The runner broke the protocol or lost the attempt. */
+    data object Broken : StepAdvance
+}
+
+/**
+ * The tokens of one model stage.
+ *
+ * An attempt runs on one chain. The next attempt starts with a prefill of the prompt and all tokens so far, so that
+ * the stream goes on at the next position.
+ */
+internal class ModelStageRun(
+    private val plan: RequestPlan,
+    private val stage: ModelStage,
+    private val prompt: String,
+) {
+    private var attempt = 0
+    private var chain: Chain? = null
+    private var hopIndex = 0
+    private var kind = StepKind.PREFILL
+    private var activation: String? = null
+
+    /** The tokens so far. */
+    val tokens = mutableListOf<Long>()
+
+    /** Whether an attempt is under way. */
+    val isRunning: Boolean get() = chain != null
+
+    /** The runner that has to answer now, or null. */
+    val waitingFor: BackEndView? get() = chain?.let { it.hops[hopIndex].backEnd }
+
+    /** Whether no step of the running attempt has been answered. */
+    val isFirstStep: Boolean get() = kind == StepKind.PREFILL && hopIndex == 0
+
+    /** The runners of the attempt under way. */
+    val backEnds: List<BackEndView> get() = chain?.hops.orEmpty().map(ChainHop::backEnd)
+
+    /** Starts attempt number [number] on [chosen]. */
+    fun begin(chosen: Chain, number: Int) {
+        attempt = number
+        chain = chosen
+        hopIndex = 0
+        kind = StepKind.PREFILL
+        activation = null
+    }
+
+    /** Ends the attempt and gives its name. */
+    fun abandon(): AttemptName {
+        chain = null
+        return AttemptName(plan.start.requestId, attempt)
+    }
+
+    /** The step that is due. */
+    fun currentStep(): StepRequest {
+        val hop = currentHop()
+        val first = hopIndex == 0
+        return StepRequest(
+            request = plan.start.requestId,
+            attempt = attempt,
+            position = tokens.size,
+            kind = kind,
+            firstLayer = hop.firstLayer,
+            endLayer = hop.endLayer,
+            model = stage.model,
+            modelVersion = stage.modelVersion,
+            samplingSeed = plan.start.body.samplingSeed,
+            context = if (first) newContext() else emptyList(),
+            priority = plan.start.priority,
+            prompt = prompt.takeIf { first && kind == StepKind.PREFILL },
+            activation = activation,
+        )
+    }
+
+    /** Takes the result of a step. */
+    fun advance(result: StepResult): StepAdvance {
+        if (!expects(result)) return StepAdvance.Late
+        return when (result.outcome) {
+            StepOutcome.DONE -> advanceDone(result)
+            StepOutcome.OVERLOADED, StepOutcome.LEAVING -> StepAdvance.Refused
+            StepOutcome.OUT_OF_ORDER, StepOutcome.UNKNOWN_ATTEMPT, StepOutcome.WRONG_LAYERS -> StepAdvance.Broken
+        }
+    }
+
+    private fun expects(result: StepResult): Boolean =
+        isRunning &&
+            result.attempt == attempt &&
+            result.position == tokens.size &&
+            result.endLayer == currentHop().endLayer
+
+    private fun advanceDone(result: StepResult): StepAdvance {
+        val lastHop = hopIndex == checkNotNull(chain).hops.lastIndex
+        return if (lastHop) advanceToken(result) else advanceHop(result)
+    }
+
+    private fun advanceHop(result: StepResult): StepAdvance {
+        activation = result.activation ?: return StepAdvance.Broken
+        hopIndex++
+        return StepAdvance.NextHop
+    }
+
+    private fun advanceToken(result: StepResult): StepAdvance {
+        val token = result.token ?: return StepAdvance.Broken
+        val position = tokens.size
+        tokens += token
+        hopIndex = 0
+        kind = StepKind.DECODE
+        activation = null
+        val ended = result.endOfText || tokens.size >= plan.start.body.maximumTokens
+        return StepAdvance.Generated(position, token, ended)
+    }
+
+    private fun currentHop(): ChainHop = checkNotNull(chain).hops[hopIndex]
+
+    private fun newContext(): List<Long> = if (kind == StepKind.PREFILL) tokens.toList() else listOf(tokens.last())
+}
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/Policies.kt
@@ -0,0 +1,14 @@
+package cassiaspindle.entry.request
+
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.entry.routing.ApplicationPolicy
+import cassiaspindle.entry.routing.ChainPolicy
+import cassiaspindle.entry.routing.lessLoadedOfTwo
+import cassiaspindle.entry.routing.shortestChain
+
+/** The choices of backend servers, as function types. */
+data class Policies(
+    val random: RandomSource,
+    val chain: ChainPolicy = shortestChain,
+    val application: ApplicationPolicy = lessLoadedOfTwo,
+)
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/routing/ApplicationChoice.kt
@@ -0,0 +1,27 @@
+package cassiaspindle.entry.routing
+
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.entry.membership.BackEndView
+import cassiaspindle.schema.CallStage
+
+/** Chooses the plain service for a call, or null where none with room answers it. */
+typealias ApplicationPolicy = (stage: CallStage, candidates: List<BackEndView>, random: RandomSource) -> BackEndView?
+
+/** The less loaded of two plain services taken at random. */
+val lessLoadedOfTwo: ApplicationPolicy = { stage, candidates, random ->
+    val fitting = candidates.filter { it.hasRoom && it.answers(stage) }
+    if (fitting.isEmpty()) {
+        null
+    } else {
+        val first = fitting[random(fitting.size)]
+        val second = fitting[random(fitting.size)]
+        if (second.load < first.load) second else first
+    }
+}
+
+/** Whether the plain service offers the call of [stage]; a call counts as idempotent only where both sides say so. */
+internal fun BackEndView.answers(stage: CallStage): Boolean {
+    val service = announcement.plainService ?: return false
+    val call = service.calls.firstOrNull { it.name == stage.call } ?: return false
+    return service.application == stage.application && (call.repeatable || !stage.repeatable)
+}
--- /dev/null
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/CommitApplier.kt
@@ -0,0 +1,54 @@
+package cassiaspindle.replication
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.ControlCommandKind
+import cassiaspindle.schema.GroupSnapshot
+import cassiaspindle.schema.LogEntry
+import cassiaspindle.schema.GroupMembership
+
+/** Moves the commit index, applies what it passes and replaces old entries by a snapshot. */
+internal class CommitApplier(private val state: ReplicaState) {
+    fun commitUpTo(index: Long, output: OutputCollector) {
+        while (state.commitIndex < index) {
+            val entry = checkNotNull(state.log.entryAt(state.commitIndex + 1)) { "a committed entry is missing" }
+            state.commitIndex = entry.index
+            output.applied(AppliedCommand(entry.index, entry.term, apply(entry.command)))
+        }
+        takeSnapshot(output)
+    }
+
+    /** Takes over [snapshot] from the leader. */
+    fun install(snapshot: GroupSnapshot, output: OutputCollector) {
+        state.log.install(snapshot)
+        state.membership = state.log.membership
+        state.commitIndex = snapshot.lastIndex
+        state.truncations++
+        state.durableIndex = minOf(state.durableIndex, snapshot.lastIndex)
+        state.machine.restore(snapshot.state)
+        output.recordSnapshot()
+    }
+
+    private fun apply(command: ControlCommand): CommandOutcome = when (command.kind) {
+        ControlCommandKind.NO_OPERATION, ControlCommandKind.CHANGE_MEMBERSHIP ->
+            CommandOutcome(ResultCode.OK.number)
+        else -> state.machine.apply(command)
+    }
+
+    private fun takeSnapshot(output: OutputCollector) {
+        val behind = state.commitIndex - state.log.snapshot.lastIndex
+        if (behind < state.settings.snapshotEveryEntries) return
+        val last = checkNotNull(state.log.entryAt(state.commitIndex))
+        state.log.install(
+            GroupSnapshot(last.index, last.term, committedMembership(last), state.machine.capture()),
+        )
+        output.recordSnapshot()
+    }
+
+    private fun committedMembership(last: LogEntry): GroupMembership =
+        state.log.entriesFrom(state.log.firstIndex, (last.index - state.log.firstIndex + 1).toInt())
+            .lastOrNull { it.command.kind == ControlCommandKind.CHANGE_MEMBERSHIP }
+            ?.command?.membership
+            ?: state.log.snapshot.membership
+}
--- /dev/null
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Election.kt
@@ -0,0 +1,98 @@
+package cassiaspindle.replication
+
+import cassiaspindle.schema.HardState
+import cassiaspindle.schema.Replica
+import cassiaspindle.schema.ReplicationKind
+import cassiaspindle.schema.ReplicationMessage
+
+/**
+ * Pre-votes and votes.
+ *
+ * A pre-vote changes nothing on either side, so that a replica that returns from a partition can't depose a healthy
+ * leader. Within one election timeout of hearing a leader, or of its own start, a replica grants neither.
+ */
+internal class Election(private val state: ReplicaState, private val leadership: Leadership) {
+    private val granted = mutableSetOf<Replica>()
+
+    fun startPreVote(nowMilliseconds: Long, output: OutputCollector) {
+        state.postponeElection(nowMilliseconds)
+        if (!state.isVoter) return
+        state.role = Role.PRE_CANDIDATE
+        state.leader = null
+        granted.clear()
+        granted += state.self
+        askVoters(ReplicationKind.PRE_VOTE, output, output::send)
+        continueIfGranted(nowMilliseconds, output)
+    }
+
+    fun answer(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
+        when (message.kind) {
+            ReplicationKind.PRE_VOTE -> answerPreVote(message, nowMilliseconds, output)
+            ReplicationKind.VOTE -> answerVote(message, nowMilliseconds, output)
+            else -> count(message, nowMilliseconds, output)
+        }
+    }
+
+    /** Counts the own vote once it is durable. */
+    fun ownVoteDurable(term: Long, nowMilliseconds: Long, output: OutputCollector) {
+        if (state.role != Role.CANDIDATE || state.term != term) return
+        granted += state.self
+        continueIfGranted(nowMilliseconds, output)
+    }
+
+    private fun answerPreVote(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
+        val grant = !hearsLeader(nowMilliseconds) &&
+            message.term >= state.term &&
+            state.isUpToDate(message.lastIndex, message.lastTerm)
+        output.send(output.message(ReplicationKind.PRE_VOTE_REPLY, message.from).copy(granted = grant))
+    }
+
+    private fun answerVote(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
+        if (hearsLeader(nowMilliseconds) || message.term < state.term) {
+            output.send(output.message(ReplicationKind.VOTE_REPLY, message.from))
+            return
+        }
+        leadership.followTerm(message.term, output)
+        val free = state.hardState.votedFor == null || state.hardState.votedFor == message.from
+        val grant = free && state.isUpToDate(message.lastIndex, message.lastTerm)
+        if (grant) {
+            output.setHardState(HardState(state.term, message.from))
+            state.postponeElection(nowMilliseconds)
+        }
+        output.sendAfterSync(output.message(ReplicationKind.VOTE_REPLY, message.from).copy(granted = grant))
+    }
+
+    private fun count(reply: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
+        val expected = if (reply.kind == ReplicationKind.PRE_VOTE_REPLY) Role.PRE_CANDIDATE else Role.CANDIDATE
+        val counts = reply.granted && state.role == expected && reply.term <= state.term
+        if (!counts || reply.from !in state.membership.voters) return
+        granted += reply.from
+        continueIfGranted(nowMilliseconds, output)
+    }
+
+    private fun continueIfGranted(nowMilliseconds: Long, output: OutputCollector) {
+        if (granted.count { it in state.membership.voters } < state.quorum()) return
+        if (state.role == Role.PRE_CANDIDATE) {
+            startVote(output)
+        } else {
+            leadership.begin(nowMilliseconds, output)
+        }
+    }
+
+    private fun startVote(output: OutputCollector) {
+        state.role = Role.CANDIDATE
+        granted.clear()
+        output.setHardState(HardState(state.term + 1, state.self))
+        askVoters(ReplicationKind.VOTE, output, output::sendAfterSync)
+    }
+
+    private fun askVoters(kind: ReplicationKind, output: OutputCollector, send: (ReplicationMessage) -> Unit) {
+        state.membership.voters
+            .filter { it != state.self }
+            .map { output.message(kind, it).copy(lastIndex = state.log.lastIndex, lastTerm = state.log.lastTerm) }
+            .forEach(send)
+    }
+
+    private fun hearsLeader(nowMilliseconds: Long): Boolean =
+        nowMilliseconds < state.quietUntilMilliseconds || leadership.holdsLease(nowMilliseconds)
+}
--- /dev/null
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/OutputCollector.kt
@@ -0,0 +1,68 @@
+package cassiaspindle.replication
+
+import cassiaspindle.schema.HardState
+import cassiaspindle.schema.LogEntry
+import cassiaspindle.schema.LogRecord
+import cassiaspindle.schema.LogRecordKind
+import cassiaspindle.schema.ReplicationKind
+import cassiaspindle.schema.ReplicationMessage
+import cassiaspindle.schema.Replica
+
+/** Gathers the effects of one call and keeps the state and its records in step. */
+internal class OutputCollector(private val state: ReplicaState) {
+    private val messages = mutableListOf<ReplicationMessage>()
+    private val durableMessages = mutableListOf<ReplicationMessage>()
+    private val records = mutableListOf<LogRecord>()
+    private val applied = mutableListOf<AppliedCommand>()
+    private val group: Int get() = state.settings.group
+
+    fun message(kind: ReplicationKind, to: Replica) =
+        ReplicationMessage(kind = kind, group = group, from = state.self, to = to, term = state.term)
+
+    fun send(message: ReplicationMessage) {
+        messages += message
+    }
+
+    /** Sends [message] once all records so far are synced. */
+    fun sendAfterSync(message: ReplicationMessage) {
+        durableMessages += message
+    }
+
+    fun setHardState(hardState: HardState) {
+        if (hardState == state.hardState) return
+        state.hardState = hardState
+        records += LogRecord(group = group, kind = LogRecordKind.HARD_STATE, hardState = hardState)
+    }
+
+    fun append(entry: LogEntry) {
+        state.log.append(entry)
+        state.membership = state.log.membership
+        records += LogRecord(group = group, kind = LogRecordKind.ENTRY, entry = entry)
+    }
+
+    fun truncateFrom(index: Long) {
+        state.log.truncateFrom(index)
+        state.membership = state.log.membership
+        state.truncations++
+        state.durableIndex = minOf(state.durableIndex, index - 1)
+        records += LogRecord(group = group, kind = LogRecordKind.TRUNCATE, fromIndex = index)
+    }
+
+    fun recordSnapshot() {
+        records += LogRecord(group = group, kind = LogRecordKind.SNAPSHOT, snapshot = state.log.snapshot)
+    }
+
+    fun applied(command: AppliedCommand) {
+        applied += command
+    }
+
+    fun collect(): ReplicationOutput {
+        val needsLog = records.isNotEmpty() || durableMessages.isNotEmpty()
+        val mark = DurableMark(state.truncations, state.log.lastIndex, state.term)
+        return ReplicationOutput(
+            messages = messages,
+            durable = if (needsLog) DurableWork(records, durableMessages, mark) else null,
+            applied = applied,
+        )
+    }
+}
--- /dev/null
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
@@ -0,0 +1,147 @@
+package cassiaspindle.replication
+
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.ControlCommandKind
+import cassiaspindle.schema.GroupStatus
+import cassiaspindle.schema.Replica
+import cassiaspindle.schema.ReplicationKind
+import cassiaspindle.schema.ReplicationMessage
+
+/**
+ * One replica of one replicated group, as pure calls.
+ *
+ * Every call takes the monotonic time in milliseconds and returns effects. The caller serialises the calls, hands the
+ * durable work of all calls to one log in the order of return, and reports each mark by [persisted].
+ */
+class ReplicaGroup(
+    settings: ReplicationSettings,
+    image: GroupImage,
+    machine: StateMachine,
+    random: RandomSource,
+    startedMilliseconds: Long,
+) {
+    private val state = ReplicaState(settings, image, machine, random, startedMilliseconds)
+    private val applier = CommitApplier(state)
+    private val leadership = Leadership(state, applier)
+    private val election = Election(state, leadership)
+    private val following = Following(state, leadership, applier)
+    private val replacement = Replacement(state, leadership)
+
+    /** The replica believed to lead, or null. */
+    val leader: Replica? get() = state.leader
+
+    /** Whether this replica leads. */
+    val leads: Boolean get() = state.role == Role.LEADER
+
+    /** Takes a message of a peer; one for another identity of this replica is dropped. */
+    fun receive(message: ReplicationMessage, nowMilliseconds: Long): ReplicationOutput = collect { output ->
+        val addressed = message.to == state.self || message.kind == ReplicationKind.JOIN
+        if (addressed) dispatch(message, nowMilliseconds, output)
+    }
+
+    /** Does what is due; to be called at least once a heartbeat. */
+    fun tick(nowMilliseconds: Long): ReplicationOutput = collect { output ->
+        when {
+            state.role == Role.LEADER -> {
+                leadership.tick(nowMilliseconds, output)
+                advanceReplacement(nowMilliseconds, output)
+            }
+            nowMilliseconds < state.electionDeadlineMilliseconds -> Unit
+            state.isVoter -> election.startPreVote(nowMilliseconds, output)
+            else -> {
+                state.leader = null
+                state.postponeElection(nowMilliseconds)
+            }
+        }
+    }
+
+    /** Proposes [command]; only a leader accepts it. */
+    fun propose(command: ControlCommand, nowMilliseconds: Long): Proposal {
+        if (!leads) return Proposal.Refused(state.leader)
+        val changes = command.kind == ControlCommandKind.CHANGE_MEMBERSHIP
+        if (changes && !mayChangeMembership()) return Proposal.ChangePending
+        val output = OutputCollector(state)
+        val entry = leadership.append(command, nowMilliseconds, output)
+        return Proposal.Accepted(entry.index, entry.term, output.collect())
+    }
+
+    /** Reports that the work that carried [mark] is synced. */
+    fun persisted(mark: DurableMark, nowMilliseconds: Long): ReplicationOutput = collect { output ->
+        if (mark.truncations == state.truncations) {
+            state.durableIndex = maxOf(state.durableIndex, mark.lastIndex)
+        }
+        election.ownVoteDurable(mark.term, nowMilliseconds, output)
+        leadership.advanceCommit(output)
+    }
+
+    /** Whether the state machine holds every commit that was answered anywhere before [nowMilliseconds]. */
+    fun canRead(nowMilliseconds: Long): Boolean =
+        leadership.holdsLease(nowMilliseconds) && leadership.hasCommittedInTerm()
+
+    /** Asks the replicas named [names] to take this one in, where it belongs to no membership it knows of. */
+    fun joinRequests(names: List<String>): List<ReplicationMessage> {
+        val known = state.isVoter || state.self in state.membership.learners
+        if (known || state.leader != null) return emptyList()
+        val output = OutputCollector(state)
+        return names.filter { it != state.self.name }
+            .map { output.message(ReplicationKind.JOIN, Replica(it, identity = "")) }
+    }
+
+    /** All that must be in the data folder, for a rewrite of the log file. */
+    fun image() = GroupImage(state.hardState, state.log.snapshot, state.log.allEntries())
+
+    /** The state for operators. */
+    fun status() = GroupStatus(
+        group = state.settings.group,
+        role = state.role.name,
+        term = state.term,
+        leader = state.leader?.name,
+        commitIndex = state.commitIndex,
+        lastIndex = state.log.lastIndex,
+        membership = state.membership,
+    )
+
+    private fun dispatch(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
+        when (message.kind) {
+            ReplicationKind.APPEND -> following.append(message, nowMilliseconds, output)
+            ReplicationKind.SNAPSHOT -> following.snapshot(message, nowMilliseconds, output)
+            ReplicationKind.APPEND_REPLY -> {
+                stepDownFor(message, output)
+                leadership.answered(message, nowMilliseconds, output)
+            }
+            ReplicationKind.JOIN -> takeIn(message.from, nowMilliseconds, output)
+            ReplicationKind.VOTE_REPLY, ReplicationKind.PRE_VOTE_REPLY -> {
+                stepDownFor(message, output)
+                election.answer(message, nowMilliseconds, output)
+            }
+            ReplicationKind.PRE_VOTE, ReplicationKind.VOTE -> election.answer(message, nowMilliseconds, output)
+        }
+    }
+
+    private fun stepDownFor(reply: ReplicationMessage, output: OutputCollector) {
+        if (reply.term > state.term) leadership.followTerm(reply.term, output)
+    }
+
+    private fun takeIn(joining: Replica, nowMilliseconds: Long, output: OutputCollector) {
+        if (!leads || !mayChangeMembership()) return
+        val membership = replacement.membershipAfterJoin(joining) ?: return
+        leadership.append(replacement.command(membership), nowMilliseconds, output)
+    }
+
+    private fun advanceReplacement(nowMilliseconds: Long, output: OutputCollector) {
+        if (!leads || !mayChangeMembership()) return
+        val membership = replacement.nextMembership() ?: return
+        leadership.append(replacement.command(membership), nowMilliseconds, output)
+    }
+
+    /** One change at a time, and none before this term has committed an entry. */
+    private fun mayChangeMembership(): Boolean =
+        state.log.membershipIndex <= state.commitIndex && leadership.hasCommittedInTerm()
+
+    private fun collect(decide: (OutputCollector) -> Unit): ReplicationOutput {
+        val output = OutputCollector(state)
+        decide(output)
+        return output.collect()
+    }
+}
--- /dev/null
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
@@ -0,0 +1,71 @@
+package cassiaspindle.replication
+
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.schema.GroupSnapshot
+import cassiaspindle.schema.GroupState
+import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.HardState
+import cassiaspindle.schema.LogEntry
+import cassiaspindle.schema.Replica
+
+/** What a replica reads from its data folder at start. */
+data class GroupImage(
+    val hardState: HardState,
+    val snapshot: GroupSnapshot,
+    val entries: List<LogEntry>,
+) {
+    /** Images to start from. */
+    companion object {
+        /** The image of a group that has no past, with the given [membership]. */
+        fun empty(membership: GroupMembership) = GroupImage(
+            HardState(term = 0),
+            GroupSnapshot(lastIndex = 0, lastTerm = 0, membership = membership, state = GroupState()),
+            emptyList(),
+        )
+    }
+}
+
+/** The state of one replica in one group, shared by the parts of [ReplicaGroup]. */
+internal class ReplicaState(
+    val settings: ReplicationSettings,
+    image: GroupImage,
+    val machine: StateMachine,
+    private val random: RandomSource,
+    startedMilliseconds: Long,
+) {
+    val self: Replica get() = settings.self
+    val log = GroupLog(image.snapshot, image.entries)
+    var hardState = image.hardState
+    var role = Role.FOLLOWER
+    var leader: Replica? = null
+    var commitIndex = image.snapshot.lastIndex
+    var durableIndex = log.lastIndex
+    var truncations = 0L
+    var membership = log.membership
+
+    /** Before this time no vote is granted: the replica may have acknowledged a leader whose lease still runs. */
+    var quietUntilMilliseconds = startedMilliseconds + settings.electionTimeoutMilliseconds
+    var electionDeadlineMilliseconds = 0L
+
+    init {
+        machine.restore(image.snapshot.state)
+        postponeElection(startedMilliseconds)
+    }
+
+    val term: Long get() = hardState.term
+    val isVoter: Boolean get() = self in membership.voters
+
+    /** All replicas but this one. */
+    val peers: List<Replica> get() = (membership.voters + membership.learners).filter { it != self }
+
+    fun quorum(): Int = membership.voters.size / 2 + 1
+
+    fun postponeElection(nowMilliseconds: Long) {
+        val timeout = settings.electionTimeoutMilliseconds
+        electionDeadlineMilliseconds = nowMilliseconds + timeout + random(timeout.toInt())
+    }
+
+    /** Whether a candidate whose log ends at [lastIndex] in [lastTerm] holds all that this replica holds. */
+    fun isUpToDate(lastIndex: Long, lastTerm: Long): Boolean =
+        lastTerm > log.lastTerm || (lastTerm == log.lastTerm && lastIndex >= log.lastIndex)
+}
