Add the durable log and the transports

Cause: decisions need a log that survives and messages that travel. Conclusion: size limits hold before parsing; a silent connection is closed.

--- /dev/null
+++ b/storage/src/main/kotlin/cassiaspindle/storage/GroupReplay.kt
@@ -0,0 +1,71 @@
+package cassiaspindle.storage
+
+import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.GroupSnapshot
+import cassiaspindle.schema.GroupState
+import cassiaspindle.schema.HardState
+import cassiaspindle.schema.LogEntry
+import cassiaspindle.schema.LogRecord
+import cassiaspindle.schema.LogRecordKind
+
+/** What the records of one group add up to. */
+data class ReplayedGroup(
+    val hardState: HardState,
+    val snapshot: GroupSnapshot,
+    val entries: List<LogEntry>,
+)
+
+/** Adds up the records of a log file, group by group. */
+class GroupReplay(private val initialMembership: GroupMembership) {
+    private val groups = mutableMapOf<Int, Replaying>()
+
+    /** Takes the next record. */
+    fun add(record: LogRecord) {
+        val group = groups.getOrPut(record.group) { Replaying(emptySnapshot()) }
+        when (record.kind) {
+            LogRecordKind.HARD_STATE -> record.hardState?.let(group::take)
+            LogRecordKind.ENTRY -> record.entry?.let(group::take)
+            LogRecordKind.TRUNCATE -> record.fromIndex?.let(group::truncateFrom)
+            LogRecordKind.SNAPSHOT -> record.snapshot?.let(group::take)
+        }
+    }
+
+    /** The state of [group]; that of a group without a past where no record names it. */
+    fun result(group: Int): ReplayedGroup {
+        val replaying = groups[group] ?: Replaying(emptySnapshot())
+        return ReplayedGroup(replaying.hardState, replaying.snapshot, replaying.entries.toList())
+    }
+
+    private fun emptySnapshot() = GroupSnapshot(0, 0, initialMembership, GroupState())
+
+    private class Replaying(var snapshot: GroupSnapshot) {
+        var hardState = HardState(term = 0)
+        val entries = ArrayDeque<LogEntry>()
+
+        /** A rewritten file holds a newer state before older records, so that a term never goes back. */
+        fun take(newer: HardState) {
+            if (newer.term >= hardState.term) hardState = newer
+        }
+
+        fun take(entry: LogEntry) {
+            truncateFrom(entry.index)
+            val next = snapshot.lastIndex + entries.size + 1
+            if (entry.index == next) entries.addLast(entry)
+        }
+
+        fun truncateFrom(index: Long) {
+            while (entries.isNotEmpty() && entries.last().index >= index) {
+                entries.removeLast()
+            }
+        }
+
+        fun take(newer: GroupSnapshot) {
+            if (newer.lastIndex < snapshot.lastIndex) return
+            val agrees = entries.any { it.index == newer.lastIndex && it.term == newer.lastTerm }
+            val kept = if (agrees) entries.filter { it.index > newer.lastIndex } else emptyList()
+            snapshot = newer
+            entries.clear()
+            entries.addAll(kept)
+        }
+    }
+}
--- /dev/null
+++ b/storage/src/main/kotlin/cassiaspindle/storage/RecordFormat.kt
@@ -0,0 +1,52 @@
+package cassiaspindle.storage
+
+import cassiaspindle.codec.decodeCbor
+import cassiaspindle.codec.encodeCbor
+import cassiaspindle.schema.LogRecord
+import com.github.michaelbull.result.get
+import java.nio.ByteBuffer
+import java.util.zip.CRC32C
+
+/**
+ * A record in the log file: length of the content (4 bytes), CRC32C over what follows (4 bytes), number of bytes of
+ * the file that were durable when the record was written (8 bytes), content in CBOR.
+ */
+internal object RecordFormat {
+    const val HEADER_BYTES = 16
+    private const val CHECKED_OFFSET = 8
+    private const val MAXIMUM_CONTENT_BYTES = 256 * 1024 * 1024
+
+    fun encode(record: LogRecord, durableBytes: Long): ByteArray {
+        val content = encodeCbor(record)
+        val buffer = ByteBuffer.allocate(HEADER_BYTES + content.size)
+        buffer.putInt(content.size)
+        buffer.putInt(0)
+        buffer.putLong(durableBytes)
+        buffer.put(content)
+        buffer.putInt(Int.SIZE_BYTES, checksum(buffer.array(), 0, buffer.capacity()))
+        return buffer.array()
+    }
+
+    /** The record at [offset] of [file], or null where no whole and sound one stands there. */
+    fun decode(file: ByteArray, offset: Int): StoredRecord? {
+        if (offset > file.size - HEADER_BYTES) return null
+        val header = ByteBuffer.wrap(file, offset, HEADER_BYTES)
+        val length = header.getInt()
+        val checksum = header.getInt()
+        val durableBytes = header.getLong()
+        val whole = length in 1..MAXIMUM_CONTENT_BYTES && length <= file.size - offset - HEADER_BYTES
+        if (!whole || checksum != checksum(file, offset, HEADER_BYTES + length)) return null
+        val start = offset + HEADER_BYTES
+        val record = decodeCbor<LogRecord>(file.copyOfRange(start, start + length)).get()
+        return record?.let { StoredRecord(it, durableBytes, offset + HEADER_BYTES + length) }
+    }
+
+    private fun checksum(bytes: ByteArray, offset: Int, length: Int): Int {
+        val checksum = CRC32C()
+        checksum.update(bytes, offset + CHECKED_OFFSET, length - CHECKED_OFFSET)
+        return checksum.value.toInt()
+    }
+}
+
+/** A sound record with the place where the next one begins. */
+internal data class StoredRecord(val record: LogRecord, val durableBytes: Long, val endOffset: Int)
--- /dev/null
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/AnnouncementClient.kt
@@ -0,0 +1,47 @@
+package cassiaspindle.transport.http.client
+
+import cassiaspindle.codec.decodeJson
+import cassiaspindle.codec.encodeJson
+import cassiaspindle.schema.AnnouncementReply
+import cassiaspindle.schema.BackEndAnnouncement
+import cassiaspindle.schema.LeaveNotice
+import cassiaspindle.schema.LoadReport
+import com.github.michaelbull.result.get
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import kotlinx.io.IOException
+
+private const val TIMEOUT_MILLISECONDS = 1_000L
+
+/** What a backend server sends to entry VMs; a lost message is made good by the next one. */
+class AnnouncementClient(private val client: HttpClient, private val key: String) {
+    /** Announces at the entry VM at [address]; null where it does not answer. */
+    suspend fun announce(address: String, announcement: BackEndAnnouncement): AnnouncementReply? =
+        post(address, "announcements", encodeJson(announcement))?.let { decodeJson<AnnouncementReply>(it).get() }
+
+    /** Reports load at the entry VM at [address]. */
+    suspend fun report(address: String, report: LoadReport) {
+        post(address, "load-reports", encodeJson(report))
+    }
+
+    /** Gives notice of leaving at the entry VM at [address]. */
+    suspend fun leave(address: String, notice: LeaveNotice) {
+        post(address, "leave-notices", encodeJson(notice))
+    }
+
+    private suspend fun post(address: String, kind: String, body: String): String? = try {
+        client.post("http://$address/v1/backends/$kind") {
+            timeout { requestTimeoutMillis = TIMEOUT_MILLISECONDS }
+            bearer(key)
+            contentType(ContentType.Application.Json)
+            setBody(body)
+        }.bodyAsText()
+    } catch (_: IOException) {
+        null
+    }
+}
--- /dev/null
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/CallerClient.kt
@@ -0,0 +1,135 @@
+package cassiaspindle.transport.http.client
+
+import cassiaspindle.codec.decodeJson
+import cassiaspindle.codec.encodeJson
+import cassiaspindle.core.identity.OrderKey
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.EntryAddresses
+import cassiaspindle.schema.ErrorAnswer
+import cassiaspindle.schema.OrderStatus
+import cassiaspindle.schema.ServiceAnswer
+import cassiaspindle.schema.ServiceRequest
+import cassiaspindle.schema.TokenEvent
+import cassiaspindle.transport.http.caller.DEADLINE_HEADER
+import cassiaspindle.transport.http.caller.ORDER_KEY_HEADER
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.get
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.parameter
+import io.ktor.client.request.post
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import io.ktor.utils.io.readUTF8Line
+import kotlinx.io.IOException
+
+private const val TIMEOUT_SLACK_MILLISECONDS = 2_000L
+
+/** A caller's side of the interface, for the local examples, tests and measurements. */
+class CallerClient(private val client: HttpClient, private val key: String, private val deadlineMilliseconds: Long) {
+    /** The entry VMs to use, asked of the entry VM at [address]. */
+    suspend fun discover(address: String, zone: String): Result<EntryAddresses, Failure> = guarded {
+        val response = client.get("http://$address/v1/entries") { parameter("zone", zone) }
+        textOf(response).flatMap { decodeJson(it) }
+    }
+
+    /** A request whose answer comes whole. */
+    suspend fun request(address: String, service: String, body: ServiceRequest): Result<ServiceAnswer, Failure> =
+        guarded {
+            val response = client.post("http://$address/v1/services/$service/requests") { carry(body) }
+            textOf(response).flatMap { decodeJson(it) }
+        }
+
+    /** An order under [orderKey]; sent again with the same key it does not run again. */
+    suspend fun order(
+        address: String,
+        service: String,
+        orderKey: OrderKey,
+        body: ServiceRequest,
+    ): Result<ServiceAnswer, Failure> = guarded {
+        val response = client.post("http://$address/v1/services/$service/orders") {
+            header(ORDER_KEY_HEADER, orderKey.text)
+            carry(body)
+        }
+        textOf(response).flatMap { decodeJson(it) }
+    }
+
+    /** The state of an order. */
+    suspend fun orderStatus(address: String, service: String, orderKey: OrderKey): Result<OrderStatus, Failure> =
+        guarded {
+            val response = client.get("http://$address/v1/services/$service/orders/${orderKey.text}") { bearer(key) }
+            textOf(response).flatMap { decodeJson(it) }
+        }
+
+    /** A request whose tokens go to [onToken] as they come; a stream without its end mark is an error. */
+    suspend fun stream(
+        address: String,
+        service: String,
+        body: ServiceRequest,
+        onToken: (TokenEvent) -> Unit,
+    ): Result<ServiceAnswer, Failure> = guarded {
+        client.preparePost("http://$address/v1/services/$service/requests") {
+            header(HttpHeaders.Accept, ContentType.Text.EventStream.toString())
+            carry(body)
+        }.execute { response ->
+            if (response.status.isSuccess()) readStream(response, onToken) else textOf(response).flatMap { decodeJson(it) }
+        }
+    }
+
+    private fun HttpRequestBuilder.carry(body: ServiceRequest) {
+        timeout { requestTimeoutMillis = deadlineMilliseconds + TIMEOUT_SLACK_MILLISECONDS }
+        bearer(key)
+        header(DEADLINE_HEADER, deadlineMilliseconds)
+        contentType(ContentType.Application.Json)
+        setBody(encodeJson(body))
+    }
+
+    private suspend fun readStream(
+        response: HttpResponse,
+        onToken: (TokenEvent) -> Unit,
+    ): Result<ServiceAnswer, Failure> {
+        val lines = response.bodyAsChannel()
+        var event = ""
+        while (true) {
+            val line = lines.readUTF8Line() ?: return Err(Failure(ResultCode.ANSWER_INVALID, "no end mark"))
+            val data = line.removePrefix("data: ")
+            when {
+                line.startsWith("event: ") -> event = line.removePrefix("event: ")
+                !line.startsWith("data: ") -> Unit
+                event == "token" -> decodeJson<TokenEvent>(data).get()?.let(onToken)
+                event == "answer" -> return decodeJson(data)
+                else -> return Err(failureOf(data))
+            }
+        }
+    }
+
+    private suspend fun textOf(response: HttpResponse): Result<String, Failure> {
+        val text = response.bodyAsText()
+        return if (response.status.isSuccess()) Ok(text) else Err(failureOf(text))
+    }
+
+    private fun failureOf(text: String): Failure {
+        val error = decodeJson<ErrorAnswer>(text).get() ?: return Failure(ResultCode.ANSWER_INVALID)
+        return Failure(ResultCode.ofNumber(error.code) ?: ResultCode.ANSWER_INVALID, error.message)
+    }
+
+    private suspend fun <Value> guarded(exchange: suspend () -> Result<Value, Failure>): Result<Value, Failure> = try {
+        exchange()
+    } catch (problem: IOException) {
+        Err(Failure(ResultCode.BACK_END_LOST, "$problem"))
+    }
+}
--- /dev/null
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/OperatorClient.kt
@@ -0,0 +1,113 @@
+package cassiaspindle.transport.http.client
+
+import cassiaspindle.codec.decodeJson
+import cassiaspindle.codec.encodeJson
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.ControlAddress
+import cassiaspindle.schema.ControlStatus
+import cassiaspindle.schema.DocumentApplied
+import cassiaspindle.schema.DocumentHistory
+import cassiaspindle.schema.ErrorAnswer
+import cassiaspindle.schema.OrderList
+import cassiaspindle.schema.OrderResolution
+import cassiaspindle.schema.OrderStatus
+import cassiaspindle.schema.ServiceDocument
+import cassiaspindle.schema.StoredDocument
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.request
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import kotlinx.coroutines.delay
+import kotlinx.io.IOException
+
+private const val REQUEST_MILLISECONDS = 5_000L
+private const val ROUND_PAUSE_MILLISECONDS = 200L
+private const val ROUNDS = 50
+
+/** Operator requests to the control replicas: asks one after the other until the leader has answered. */
+class OperatorClient(
+    private val client: HttpClient,
+    private val controls: List<ControlAddress>,
+    private val key: String,
+) {
+    /** Applies [document]; the same again after a lost answer changes nothing. */
+    suspend fun apply(document: ServiceDocument): Result<DocumentApplied, Failure> =
+        ask(HttpMethod.Put, "documents", encodeJson(document)).flatMap { decodeJson(it) }
+
+    /** The newest document of [service]. */
+    suspend fun show(service: String): Result<StoredDocument, Failure> =
+        ask(HttpMethod.Get, "documents/$service").flatMap { decodeJson(it) }
+
+    /** The accepted versions of [service]. */
+    suspend fun history(service: String): Result<DocumentHistory, Failure> =
+        ask(HttpMethod.Get, "documents/$service/history").flatMap { decodeJson(it) }
+
+    /** Orders without an outcome. */
+    suspend fun unsettledOrders(): Result<OrderList, Failure> =
+        ask(HttpMethod.Get, "orders/unsettled").flatMap { decodeJson(it) }
+
+    /** Settles an order that is in doubt. */
+    suspend fun settle(resolution: OrderResolution): Result<OrderStatus, Failure> =
+        ask(HttpMethod.Post, "orders/settlements", encodeJson(resolution)).flatMap { decodeJson(it) }
+
+    /** The state of one control replica. */
+    suspend fun status(control: ControlAddress): Result<ControlStatus, Failure> =
+        askOne(control, HttpMethod.Get, "status", body = null).flatMap { decodeJson(it) }
+
+    private suspend fun ask(method: HttpMethod, path: String, body: String? = null): Result<String, Failure> {
+        var last: Failure? = null
+        repeat(ROUNDS) {
+            for (control in controls) {
+                val result = askOne(control, method, path, body)
+                val failure = result.getError() ?: return result
+                if (failure.code !in RETRIED) return result
+                last = failure
+            }
+            delay(ROUND_PAUSE_MILLISECONDS)
+        }
+        return Err(last ?: Failure(ResultCode.CONTROL_UNREACHABLE))
+    }
+
+    private suspend fun askOne(
+        control: ControlAddress,
+        method: HttpMethod,
+        path: String,
+        body: String?,
+    ): Result<String, Failure> = try {
+        val response = client.request("http://${control.operatorAddress}/v1/$path") {
+            this.method = method
+            timeout { requestTimeoutMillis = REQUEST_MILLISECONDS }
+            bearer(key)
+            if (body != null) {
+                contentType(ContentType.Application.Json)
+                setBody(body)
+            }
+        }
+        val text = response.bodyAsText()
+        if (response.status.isSuccess()) Ok(text) else Err(failureOf(text))
+    } catch (problem: IOException) {
+        Err(Failure(ResultCode.CONTROL_UNREACHABLE, "${control.name}: ${problem.javaClass.simpleName}"))
+    }
+
+    private fun failureOf(text: String): Failure {
+        val error = decodeJson<ErrorAnswer>(text).get() ?: return Failure(ResultCode.MALFORMED)
+        val detail = error.digest?.let { "${error.message} The digest that won is $it." } ?: error.message
+        return Failure(ResultCode.ofNumber(error.code) ?: ResultCode.MALFORMED, detail)
+    }
+
+    private companion object {
+        val RETRIED = setOf(ResultCode.NOT_LEADER, ResultCode.CONTROL_UNREACHABLE, ResultCode.LEADERSHIP_LOST)
+    }
+}
--- /dev/null
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/Exchange.kt
@@ -0,0 +1,82 @@
+package cassiaspindle.transport.http.server
+
+import cassiaspindle.codec.decodeJson
+import cassiaspindle.codec.encodeJson
+import cassiaspindle.core.identity.Digest
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.ErrorAnswer
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.contentLength
+import io.ktor.server.request.header
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import io.ktor.utils.io.readRemaining
+import kotlinx.io.readByteArray
+import java.nio.ByteBuffer
+import java.nio.charset.CharacterCodingException
+
+private const val BEARER = "Bearer "
+private const val MILLISECONDS_PER_SECOND = 1_000L
+
+/** The SHA-256 of the bearer key that the caller shows, or null. */
+fun ApplicationCall.keyDigest(): String? = request.header(HttpHeaders.Authorization)
+    ?.takeIf { it.startsWith(BEARER) }
+    ?.let { Digest.of(it.removePrefix(BEARER)) }
+
+/** Refuses a call that does not show [key]. */
+fun ApplicationCall.requireKey(key: String): Result<Unit, Failure> {
+    val shown = keyDigest()
+    val matches = shown != null && Digest.equal(shown, Digest.of(key))
+    return if (matches) Ok(Unit) else Err(Failure(ResultCode.UNAUTHENTICATED))
+}
+
+/** Reads the body as text of at most [maximumBytes]; the limit holds before anything is parsed. */
+suspend fun ApplicationCall.readText(maximumBytes: Int): Result<String, Failure> {
+    val announced = request.contentLength() ?: 0
+    if (announced > maximumBytes) return Err(Failure(ResultCode.TOO_LARGE))
+    val bytes = receiveChannel().readRemaining(maximumBytes + 1L).readByteArray()
+    if (bytes.size > maximumBytes) return Err(Failure(ResultCode.TOO_LARGE))
+    return try {
+        Ok(Charsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString())
+    } catch (_: CharacterCodingException) {
+        Err(Failure(ResultCode.MALFORMED, "the body is not UTF-8"))
+    }
+}
+
+/** Reads the body as a [Message]. */
+suspend inline fun <reified Message> ApplicationCall.readMessage(maximumBytes: Int): Result<Message, Failure> =
+    readText(maximumBytes).flatMap { decodeJson<Message>(it) }
+
+/** Answers with [message] as JSON. */
+suspend inline fun <reified Message> ApplicationCall.answer(message: Message) {
+    respondText(encodeJson(message), ContentType.Application.Json, HttpStatusCode.OK)
+}
+
+/** Answers with [error] under the HTTP status of its code. */
+suspend fun ApplicationCall.answerError(error: ErrorAnswer) {
+    error.retryAfterMilliseconds?.let {
+        response.header(HttpHeaders.RetryAfter, (it + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND)
+    }
+    val code = ResultCode.ofNumber(error.code) ?: ResultCode.MALFORMED
+    respondText(encodeJson(error), ContentType.Application.Json, httpStatusOf(code))
+}
+
+/** Answers with [failure]. */
+suspend fun ApplicationCall.answerFailure(failure: Failure) = answerError(errorAnswerOf(failure))
+
+/** The message form of [failure]. */
+fun errorAnswerOf(failure: Failure) = ErrorAnswer(
+    code = failure.code.number,
+    name = failure.code.name,
+    execution = failure.code.execution,
+    message = failure.detail,
+)
--- /dev/null
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/HttpFrontEnd.kt
@@ -0,0 +1,69 @@
+package cassiaspindle.transport.http.server
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import io.ktor.http.ContentType
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.call
+import io.ktor.server.application.install
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import io.ktor.server.websocket.WebSockets
+import io.micrometer.core.instrument.Counter
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.runBlocking
+
+private const val STOP_MILLISECONDS = 200L
+
+/** The metrics of a daemon. */
+class Metrics {
+    /** The registry that `/metrics` shows. */
+    val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    /** Counts one answer with [code]. */
+    fun count(code: ResultCode) {
+        Counter.builder("cassiaspindle.results").tag("code", code.number.toString()).register(registry).increment()
+    }
+}
+
+/** An HTTP server with the routes of a daemon, `/metrics`, and a numbered error on every other path. */
+class HttpFrontEnd private constructor(
+    private val server: EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration>,
+) {
+    /** The port it listens on. */
+    val port: Int by lazy { runBlocking { server.engine.resolvedConnectors().first().port } }
+
+    /** Stops it; calls in flight get [STOP_MILLISECONDS] to end. */
+    fun close() = server.stop(STOP_MILLISECONDS, STOP_MILLISECONDS)
+
+    /** Starting. */
+    companion object {
+        /** Listens on [host] and [port], port 0 for any, with [routes]. */
+        fun start(host: String, port: Int, metrics: Metrics, routes: Route.() -> Unit): HttpFrontEnd {
+            val server = embeddedServer(CIO, port = port, host = host) {
+                install(WebSockets)
+                routing {
+                    routes()
+                    get("/metrics") { call.respondText(metrics.registry.scrape(), ContentType.Text.Plain) }
+                    route("{...}") { handle { call.refuse(metrics, Failure(ResultCode.UNKNOWN_PATH)) } }
+                }
+            }
+            server.start(wait = false)
+            return HttpFrontEnd(server)
+        }
+    }
+}
+
+/** Counts [failure] and answers with it. */
+suspend fun ApplicationCall.refuse(metrics: Metrics, failure: Failure) {
+    metrics.count(failure.code)
+    answerFailure(failure)
+}
--- /dev/null
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/FrameChannel.kt
@@ -0,0 +1,30 @@
+package cassiaspindle.transport.peer
+
+import cassiaspindle.codec.decodeCbor
+import cassiaspindle.codec.encodeCbor
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.PeerFrame
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
+
+/** Reads one frame: its length in 4 bytes, then CBOR; the length is checked before anything is read. */
+internal suspend fun ByteReadChannel.readFrame(maximumBytes: Int): Result<PeerFrame, Failure> {
+    val length = readInt()
+    if (length < 1) return Err(Failure(ResultCode.MALFORMED, "a frame of $length bytes"))
+    if (length > maximumBytes) return Err(Failure(ResultCode.TOO_LARGE, "a frame of $length bytes"))
+    return decodeCbor<PeerFrame>(readByteArray(length))
+}
+
+/** Writes one frame without flushing. */
+internal suspend fun ByteWriteChannel.writeFrame(frame: PeerFrame) {
+    val bytes = encodeCbor(frame)
+    writeInt(bytes.size)
+    writeFully(bytes)
+}
--- /dev/null
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerClient.kt
@@ -0,0 +1,69 @@
+package cassiaspindle.transport.peer
+
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.PeerFrameKind
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import org.tinylog.kotlin.Logger
+import java.util.concurrent.atomic.AtomicReference
+
+private const val CONNECT_MILLISECONDS = 1_000L
+private const val RECONNECT_MILLISECONDS = 100L
+
+/** Keeps one connection to another own process open, and opens a fresh one when it ends or falls silent. */
+class PeerClient(
+    /** Name of the other process. */
+    val peer: String,
+    private val address: HostAndPort,
+    private val settings: PeerSettings,
+    private val selector: SelectorManager,
+    private val onFrame: (PeerFrame) -> Unit,
+) {
+    private val current = AtomicReference<PeerConnection?>(null)
+
+    /** Whether a connection is open. */
+    val isConnected: Boolean get() = current.get() != null
+
+    /** Queues [frame]; false where it is lost because no connection is open or its queue is full. */
+    fun send(frame: PeerFrame): Boolean = current.get()?.send(frame) ?: false
+
+    /** Connects within [scope] until the job is cancelled. */
+    fun start(scope: CoroutineScope): Job = scope.launch {
+        while (isActive) {
+            connectOnce()
+            delay(RECONNECT_MILLISECONDS)
+        }
+    }
+
+    private suspend fun connectOnce() {
+        try {
+            val socket = withTimeoutOrNull(CONNECT_MILLISECONDS) {
+                aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true }
+            }
+            socket?.let { use(it) }
+        } catch (problem: IOException) {
+            Logger.debug { "event=peer_connection_ended peer=$peer reason=${problem.javaClass.simpleName}" }
+        }
+    }
+
+    private suspend fun use(socket: Socket) {
+        val connection = PeerConnection(socket, settings)
+        try {
+            connection.writeNow(PeerFrame(PeerFrameKind.HELLO, sender = settings.name, key = settings.key))
+            current.set(connection)
+            Logger.info { "event=peer_connected peer=$peer" }
+            connection.run(onFrame)
+        } finally {
+            current.set(null)
+            connection.close()
+        }
+    }
+}
--- /dev/null
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
@@ -0,0 +1,71 @@
+package cassiaspindle.transport.peer
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.PeerFrameKind
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+
+private const val OUTGOING_FRAMES = 4_096
+
+/** One connection between own processes. */
+class PeerConnection internal constructor(private val socket: Socket, private val settings: PeerSettings) {
+    private val incoming = socket.openReadChannel()
+    private val outgoing = socket.openWriteChannel(autoFlush = false)
+    private val queue = Channel<PeerFrame>(OUTGOING_FRAMES)
+
+    /** Queues [frame]; false where the connection is closed or the queue is full, and the frame is lost. */
+    fun send(frame: PeerFrame): Boolean = queue.trySend(frame).isSuccess
+
+    /** Reads the next frame; a silent connection gives a failure as well. */
+    internal suspend fun read(): Result<PeerFrame, Failure> =
+        withTimeoutOrNull(settings.silenceMilliseconds) { incoming.readFrame(settings.maximumMessageBytes) }
+            ?: Err(Failure(ResultCode.BACK_END_LOST, "the connection is silent"))
+
+    /** Writes queued frames, and pings while there are none, and hands what comes in to [onFrame] until the end. */
+    internal suspend fun run(onFrame: (PeerFrame) -> Unit): Failure? = coroutineScope {
+        val writer = launch { writeAll() }
+        var failure: Failure? = null
+        while (failure == null) {
+            val result = read()
+            result.get()?.takeIf { it.kind != PeerFrameKind.HELLO }?.let(onFrame)
+            failure = result.getError()
+        }
+        writer.cancel()
+        failure
+    }
+
+    /** Writes [frame] at once. */
+    internal suspend fun writeNow(frame: PeerFrame) {
+        outgoing.writeFrame(frame)
+        outgoing.flush()
+    }
+
+    internal fun close() {
+        queue.close()
+        socket.close()
+    }
+
+    private suspend fun writeAll() {
+        var open = true
+        while (open) {
+            val received = withTimeoutOrNull(settings.pingMilliseconds) { queue.receiveCatching() }
+            open = received?.isClosed != true
+            if (open) {
+                outgoing.writeFrame(received?.getOrNull() ?: PeerFrame(PeerFrameKind.HELLO))
+                generateSequence { queue.tryReceive().getOrNull() }.forEach { outgoing.writeFrame(it) }
+                outgoing.flush()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -0,0 +1,114 @@
+package cassiaspindle.transport.peer
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.PeerFrameKind
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.io.IOException
+import org.tinylog.kotlin.Logger
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** What a peer server does with connections and frames, as function types; they must not wait. */
+data class PeerHandlers(
+    val onFrame: (connection: PeerConnection, frame: PeerFrame) -> Unit,
+    /** Counts a refused message. */
+    val onRefused: (Failure) -> Unit,
+)
+
+/** Accepts connections of own processes; the first frame has to show the key. */
+class PeerServer private constructor(
+    private val selector: SelectorManager,
+    private val socket: ServerSocket,
+    private val settings: PeerSettings,
+    private val handlers: PeerHandlers,
+) {
+    private val connections = CopyOnWriteArrayList<PeerConnection>()
+
+    /** Queues [frame] on every connection. */
+    fun broadcast(frame: PeerFrame) {
+        connections.forEach { it.send(frame) }
+    }
+
+    /** Stops accepting and closes all connections. */
+    fun close() {
+        socket.close()
+        connections.forEach(PeerConnection::close)
+        selector.close()
+    }
+
+    private suspend fun acceptAll(scope: CoroutineScope) {
+        while (scope.isActive && !socket.socketContext.isCancelled) {
+            val accepted = try {
+                socket.accept()
+            } catch (problem: IOException) {
+                Logger.debug { "event=peer_accept_ended reason=${problem.javaClass.simpleName}" }
+                return
+            }
+            scope.launch { serve(accepted) }
+        }
+    }
+
+    private suspend fun serve(accepted: Socket) {
+        val connection = PeerConnection(accepted, settings)
+        try {
+            if (greet(connection)) {
+                connections += connection
+                connection.run { handlers.onFrame(connection, it) }?.let(::refused)
+            }
+        } catch (problem: IOException) {
+            Logger.debug { "event=peer_connection_ended reason=${problem.javaClass.simpleName}" }
+        } finally {
+            connections -= connection
+            connection.close()
+        }
+    }
+
+    private suspend fun greet(connection: PeerConnection): Boolean {
+        val result = connection.read()
+        val hello = result.get()
+        val failure = when {
+            hello == null -> result.getError()
+            hello.kind == PeerFrameKind.HELLO && settings.accepts(hello.key) -> null
+            else -> Failure(ResultCode.UNAUTHENTICATED)
+        } ?: return true
+        refused(failure)
+        val outcome = CommandOutcome(failure.code.number)
+        connection.writeNow(PeerFrame(PeerFrameKind.REFUSED, outcome = outcome))
+        return false
+    }
+
+    private fun refused(failure: Failure) {
+        if (failure.code == ResultCode.BACK_END_LOST) return
+        Logger.warn { "event=peer_refused code=${failure.code.number} name=${failure.code}" }
+        handlers.onRefused(failure)
+    }
+
+    /** Starting. */
+    companion object {
+        /** Listens on [address] within [scope]. */
+        fun start(
+            address: HostAndPort,
+            settings: PeerSettings,
+            scope: CoroutineScope,
+            handlers: PeerHandlers,
+        ): PeerServer {
+            val selector = SelectorManager(Dispatchers.IO)
+            val socket = runBlocking { aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true } }
+            val server = PeerServer(selector, socket, settings, handlers)
+            scope.launch { server.acceptAll(scope) }
+            return server
+        }
+    }
+}
