Run both daemons, the stand-ins and the command line end to end

Cause: the whole path has to work thinly before any part is widened. Change: entry and control daemons, stand-in runners and plain services that count what they run, and the command line with local. A first try let a replica that had founded the system answer that it is not empty; two of three replicas then joined a system without a quorum. Identities are now exchanged, and a replica founds the system by the identities it heard.

--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/Main.kt
@@ -0,0 +1,47 @@
+package cassiaspindle.command
+
+import cassiaspindle.command.daemon.ControlCommand
+import cassiaspindle.command.daemon.EntryCommand
+import cassiaspindle.command.local.LocalCommand
+import cassiaspindle.command.operator.DocumentCommand
+import cassiaspindle.command.operator.DrainCommand
+import cassiaspindle.command.operator.OrdersCommand
+import cassiaspindle.command.operator.SettingsCommand
+import cassiaspindle.command.operator.StatusCommand
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import kotlin.system.exitProcess
+
+private const val VERSION = "0.1.0"
+
+/** The program: parses the arguments and ends with the exit status of the command. */
+fun main(arguments: Array<String>) {
+    if ("--version" in arguments) {
+        println("cassiaspindle $VERSION")
+        exitProcess(ExitStatus.DONE)
+    }
+    exitProcess(runCommandLine(arguments))
+}
+
+/** Runs one command and returns its exit status. */
+@OptIn(ExperimentalCli::class)
+internal fun runCommandLine(arguments: Array<String>): Int {
+    val outcome = CommandOutcomeHolder()
+    val parser = ArgParser("cassiaspindle")
+    val commands = listOf(
+        EntryCommand(outcome),
+        ControlCommand(outcome),
+        LocalCommand(outcome),
+        SettingsCommand(outcome),
+        DocumentCommand(outcome),
+        StatusCommand(outcome),
+        OrdersCommand(outcome),
+        DrainCommand(outcome),
+    )
+    parser.subcommands(*commands.toTypedArray())
+    endUsageErrorsWith(parser, ExitStatus.USAGE)
+    commands.forEach { endUsageErrorsWith(it, ExitStatus.USAGE) }
+    commands.flatMap { it.nested }.forEach { endUsageErrorsWith(it, ExitStatus.USAGE) }
+    parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
+    return outcome.status
+}
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/daemon/DaemonCommands.kt
@@ -0,0 +1,96 @@
+package cassiaspindle.command.daemon
+
+import cassiaspindle.codec.Keys
+import cassiaspindle.codec.SettingsReader
+import cassiaspindle.command.CommandOutcomeHolder
+import cassiaspindle.command.ProgramCommand
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.time.Clock
+import cassiaspindle.daemon.control.ControlDaemon
+import cassiaspindle.daemon.control.ControlEnvironment
+import cassiaspindle.daemon.entry.EntryDaemon
+import cassiaspindle.daemon.entry.EntryEnvironment
+import cassiaspindle.schema.ControlSettings
+import cassiaspindle.schema.EntrySettings
+import cassiaspindle.schema.LogLevel
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onSuccess
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.required
+import org.tinylog.configuration.Configuration
+import org.tinylog.kotlin.Logger
+import java.nio.file.Path
+import java.security.SecureRandom
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+
+private const val DRAIN_MILLISECONDS = 60_000L
+
+/** `entry`: an entry VM. */
+@OptIn(ExperimentalCli::class)
+internal class EntryCommand(private val outcome: CommandOutcomeHolder) :
+    ProgramCommand("entry", "Run an entry VM") {
+    private val settings by option(ArgType.String, "settings", description = "Settings file").required()
+
+    override fun execute() {
+        val started = SettingsReader.read<EntrySettings>(Path.of(settings)).flatMap { read ->
+            useLogLevel(read.logLevel)
+            Keys.read(read.keyFiles).map { keys -> EntryDaemon(read, EntryEnvironment(keys, Clock.system, secureRandom())) }
+        }
+        outcome.take(started)
+        started.onSuccess(::serve)
+    }
+
+    /** Serves until the process is told to end, and drains before it does. */
+    private fun serve(daemon: EntryDaemon) {
+        daemon.start()
+        atShutdown {
+            daemon.drain()
+            daemon.awaitDrained(DRAIN_MILLISECONDS)
+            daemon.close()
+        }
+    }
+}
+
+/** `control`: a control replica. */
+@OptIn(ExperimentalCli::class)
+internal class ControlCommand(private val outcome: CommandOutcomeHolder) :
+    ProgramCommand("control", "Run a control replica") {
+    private val settings by option(ArgType.String, "settings", description = "Settings file").required()
+
+    override fun execute() {
+        val started = SettingsReader.read<ControlSettings>(Path.of(settings)).flatMap { read ->
+            useLogLevel(read.logLevel)
+            Keys.read(read.keyFiles).flatMap { keys ->
+                ControlDaemon.start(read, ControlEnvironment(keys, Clock.system, secureRandom(), ::stopAtOnce))
+            }
+        }
+        outcome.take(started)
+        started.onSuccess { daemon -> atShutdown(daemon::close) }
+    }
+
+    /** After a failed sync nothing in memory may be trusted to be durable: the process ends without any more work. */
+    private fun stopAtOnce(failure: Failure) {
+        Logger.error { "event=control_failed code=${failure.code.number} name=${failure.code} detail=\"${failure.detail}\"" }
+        Runtime.getRuntime().halt(1)
+    }
+}
+
+/** Waits until the process is told to end, then runs [stop]. */
+private fun atShutdown(stop: () -> Unit) {
+    val stopped = CountDownLatch(1)
+    Runtime.getRuntime().addShutdownHook(
+        thread(start = false, name = "shutdown") {
+            stop()
+            stopped.countDown()
+        },
+    )
+    stopped.await()
+}
+
+private fun useLogLevel(level: LogLevel?) = Configuration.set("level", (level ?: LogLevel.INFO).name.lowercase())
+
+private fun secureRandom(): RandomSource = SecureRandom().let { source -> { bound -> source.nextInt(bound) } }
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/operator/DrainCommand.kt
@@ -0,0 +1,35 @@
+package cassiaspindle.command.operator
+
+import cassiaspindle.command.CommandOutcomeHolder
+import cassiaspindle.command.ProgramCommand
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.transport.http.client.bearer
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.ktor.client.request.post
+import io.ktor.http.isSuccess
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.required
+import kotlinx.io.IOException
+
+/** `drain`: has an entry VM leave discovery and finish what it has. */
+@OptIn(ExperimentalCli::class)
+internal class DrainCommand(private val outcome: CommandOutcomeHolder) :
+    ProgramCommand("drain", "Drain an entry VM") {
+    private val address by argument(ArgType.String, description = "Host and port of the entry VM")
+    private val settings by option(ArgType.String, "settings", description = "Client settings file").required()
+
+    override fun execute() {
+        outcome.take(withOperator(settings, ::drain))
+    }
+
+    private suspend fun drain(session: OperatorSession): Result<Unit, Failure> = try {
+        val response = session.http.post("http://$address/v1/drain") { bearer(session.key) }
+        if (response.status.isSuccess()) Ok(Unit) else Err(Failure(ResultCode.UNAUTHENTICATED))
+    } catch (problem: IOException) {
+        Err(Failure(ResultCode.ENTRY_CUT_OFF, "$address: ${problem.javaClass.simpleName}"))
+    }
+}
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/operator/SettingsCommand.kt
@@ -0,0 +1,50 @@
+package cassiaspindle.command.operator
+
+import cassiaspindle.codec.SettingsReader
+import cassiaspindle.command.CommandOutcomeHolder
+import cassiaspindle.command.NestedCommand
+import cassiaspindle.command.ProgramCommand
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.ClientSettings
+import cassiaspindle.schema.ControlSettings
+import cassiaspindle.schema.EntrySettings
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onSuccess
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import java.nio.file.Path
+
+/** `settings`: settings files and documents. */
+@OptIn(ExperimentalCli::class)
+internal class SettingsCommand(outcome: CommandOutcomeHolder) : ProgramCommand(
+    "settings",
+    "Check settings and service documents",
+    listOf(SettingsCheckCommand(outcome)),
+)
+
+/** `settings check`: checks a file without using it. */
+@OptIn(ExperimentalCli::class)
+internal class SettingsCheckCommand(outcome: CommandOutcomeHolder) :
+    NestedCommand("check", "Check a settings file or a service document", outcome) {
+    private val file by argument(ArgType.String, description = "The file")
+
+    override fun execute() {
+        val kind = SettingsReader.text(Path.of(file)).flatMap(::check)
+        kind.onSuccess { println("file=$file kind=$it result=ok") }
+        outcome.take(kind)
+    }
+
+    /** The kind is told by a member that only settings of that kind need. */
+    private fun check(text: String): Result<String, Failure> {
+        val code = ResultCode.SETTINGS_INVALID
+        return when {
+            "\"listenAddress\"" in text -> SettingsReader.checked<EntrySettings>(text, code).map { "entry" }
+            "\"dataFolder\"" in text -> SettingsReader.checked<ControlSettings>(text, code).map { "control" }
+            "\"stages\"" in text -> readDocument(file).map { "document" }
+            else -> SettingsReader.checked<ClientSettings>(text, code).map { "client" }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/CommandDesk.kt
@@ -0,0 +1,27 @@
+package cassiaspindle.daemon.control
+
+import cassiaspindle.control.group.ControlEffect
+import cassiaspindle.schema.CommandOutcome
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** Takes the outcome of a command and the leader's name where this replica does not lead; must not wait. */
+internal typealias CommandAnswer = (outcome: CommandOutcome, leader: String?) -> Unit
+
+/** The commands that wait for an outcome, by ticket. */
+internal class CommandDesk {
+    private val nextTicket = AtomicLong()
+    private val waiting = ConcurrentHashMap<Long, CommandAnswer>()
+
+    /** Gives out a ticket whose outcome goes to [onAnswer]. */
+    fun open(onAnswer: CommandAnswer): Long {
+        val ticket = nextTicket.incrementAndGet()
+        waiting[ticket] = onAnswer
+        return ticket
+    }
+
+    /** Hands [answer] to the one who waits for it. */
+    fun close(answer: ControlEffect.Answer) {
+        waiting.remove(answer.ticket)?.invoke(answer.outcome, answer.leader)
+    }
+}
--- /dev/null
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/IdentityChoice.kt
@@ -0,0 +1,41 @@
+package cassiaspindle.daemon.control
+
+import cassiaspindle.control.group.FirstStart
+import cassiaspindle.control.group.FirstStartDecision
+import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.PeerFrameKind
+import cassiaspindle.schema.Replica
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** Settles with the other control replicas whether an empty one founds the system or joins it. */
+internal class IdentityChoice(private val self: Replica, names: List<String>) {
+    private val lock = ReentrantLock()
+    private val firstStart = FirstStart(self, names)
+
+    /** The membership that the log begins with, once it is settled; without voters for one that joins. */
+    val beginning = CompletableFuture<GroupMembership>()
+
+    /** What this replica says of itself, with the [membership] it knows of. */
+    fun presence(membership: GroupMembership?) =
+        PeerFrame(PeerFrameKind.PRESENCE, sender = self.name, replica = self, membership = membership)
+
+    /** Takes what another replica said of itself. */
+    fun heard(frame: PeerFrame) {
+        val replica = frame.replica ?: return
+        settle(lock.withLock { firstStart.heard(replica, frame.membership) })
+    }
+
+    /** Settles at once where there is no other replica. */
+    fun decide() = settle(lock.withLock { firstStart.decide() })
+
+    private fun settle(decision: FirstStartDecision) {
+        when (decision) {
+            FirstStartDecision.Wait -> Unit
+            is FirstStartDecision.Found -> beginning.complete(decision.membership)
+            FirstStartDecision.Join -> beginning.complete(GroupMembership(emptyList()))
+        }
+    }
+}
--- /dev/null
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/ControlLink.kt
@@ -0,0 +1,97 @@
+package cassiaspindle.daemon.entry
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import arrow.resilience.Schedule
+import arrow.resilience.retryEither
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.ControlAddress
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.EntryHeartbeat
+import cassiaspindle.schema.EntryNews
+import cassiaspindle.schema.OrderName
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.PeerFrameKind
+import cassiaspindle.transport.peer.HostAndPort
+import cassiaspindle.transport.peer.PeerClient
+import cassiaspindle.transport.peer.PeerSettings
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
+
+private const val REPLY_MILLISECONDS = 500L
+private const val RETRY_MILLISECONDS = 40
+
+/** Connections of an entry VM to the control replicas. */
+internal class ControlLink(
+    controls: List<ControlAddress>,
+    settings: PeerSettings,
+    selector: SelectorManager,
+    private val onNews: (EntryNews) -> Unit,
+) {
+    private val clients = controls.map {
+        PeerClient(it.name, HostAndPort.parse(it.peerAddress), settings, selector, ::heard)
+    }
+    private val waiting = ConcurrentHashMap<Long, CompletableDeferred<PeerFrame>>()
+    private val nextCorrelation = AtomicLong()
+    private val nextClient = AtomicInteger()
+
+    fun start(scope: CoroutineScope) = clients.forEach { it.start(scope) }
+
+    /** Sends a heartbeat to every control replica; the leader answers with news. */
+    fun send(heartbeat: EntryHeartbeat) {
+        clients.forEach { it.send(PeerFrame(PeerFrameKind.HEARTBEAT, heartbeat = heartbeat)) }
+    }
+
+    /** Has [command] decided; tries again, with the same content, until a leader has answered. */
+    suspend fun submit(command: ControlCommand): CommandOutcome =
+        askUntilAnswered { PeerFrame(PeerFrameKind.COMMAND, correlation = it, command = command) }
+
+    /** Reads an order, or gives null where no leader answers within [timeoutMilliseconds]. */
+    suspend fun readOrder(name: OrderName, timeoutMilliseconds: Long): CommandOutcome? =
+        withTimeoutOrNull(timeoutMilliseconds) {
+            askUntilAnswered { PeerFrame(PeerFrameKind.READ_ORDER, correlation = it, orderName = name) }
+        }
+
+    private suspend fun askUntilAnswered(frame: (correlation: Long) -> PeerFrame): CommandOutcome {
+        var leader: String? = null
+        val schedule = Schedule.spaced<String?>(RETRY_MILLISECONDS.milliseconds).jittered()
+        val answered = schedule.retryEither { askOnce(leader, frame).onLeft { leader = it } }
+        return answered.getOrNull() ?: CommandOutcome(ResultCode.CONTROL_UNREACHABLE.number)
+    }
+
+    /** Asks one replica; the left side names the leader where it is known to be another. */
+    private suspend fun askOnce(
+        leader: String?,
+        frame: (correlation: Long) -> PeerFrame,
+    ): Either<String?, CommandOutcome> {
+        val correlation = nextCorrelation.incrementAndGet()
+        val reply = CompletableDeferred<PeerFrame>()
+        waiting[correlation] = reply
+        val target = clients.firstOrNull { it.peer == leader } ?: nextInTurn()
+        val sent = target.send(frame(correlation))
+        val answer = if (sent) withTimeoutOrNull(REPLY_MILLISECONDS) { reply.await() } else null
+        waiting.remove(correlation)
+        val outcome = answer?.outcome ?: return null.left()
+        return if (outcome.code in UNDECIDED) answer.leader.left() else outcome.right()
+    }
+
+    private fun nextInTurn(): PeerClient = clients[Math.floorMod(nextClient.getAndIncrement(), clients.size)]
+
+    private fun heard(frame: PeerFrame) {
+        frame.news?.let(onNews)
+        if (frame.kind == PeerFrameKind.COMMAND_REPLY) waiting[frame.correlation]?.complete(frame)
+    }
+
+    private companion object {
+        /** Codes after which the same command is sent again. */
+        val UNDECIDED = setOf(ResultCode.NOT_LEADER.number, ResultCode.LEADERSHIP_LOST.number)
+    }
+}
--- /dev/null
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EffectPerformer.kt
@@ -0,0 +1,90 @@
+package cassiaspindle.daemon.entry
+
+import cassiaspindle.core.time.Clock
+import cassiaspindle.entry.request.EntryEffect
+import cassiaspindle.entry.request.RequestController
+import cassiaspindle.transport.http.caller.CallerEvent
+import cassiaspindle.transport.http.client.ApplicationClient
+import cassiaspindle.transport.http.client.StepStreamHandlers
+import cassiaspindle.transport.http.client.StepStreams
+import io.ktor.client.HttpClient
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+
+/** What effects are carried out with. */
+internal data class Machinery(
+    val scope: CoroutineScope,
+    val timer: ScheduledExecutorService,
+    val clock: Clock,
+    val client: HttpClient,
+    val applications: ApplicationClient,
+)
+
+/** Carries out the effects of the request decisions and reports what came of them. */
+internal class EffectPerformer(
+    private val machinery: Machinery,
+    private val controller: RequestController,
+    private val controls: ControlLink,
+    private val sessions: CallerSessions,
+) {
+    private val streams = StepStreams(
+        machinery.client,
+        machinery.scope,
+        StepStreamHandlers(
+            onResult = { perform(controller.stepAnswered(it, now())) },
+            onLost = { perform(controller.backEndLost(it, now())) },
+        ),
+    )
+
+    fun perform(effects: List<EntryEffect>) = effects.forEach(::perform)
+
+    private fun perform(effect: EntryEffect) {
+        when (effect) {
+            is EntryEffect.SendStep -> streams.send(effect.backEnd, effect.step)
+            is EntryEffect.CancelAttempt -> streams.cancel(effect.backEnd, effect.attempt)
+            is EntryEffect.CallApplication -> machinery.scope.launch { call(effect) }
+            is EntryEffect.ReadOrderStatus -> machinery.scope.launch { readStatus(effect) }
+            is EntryEffect.Submit -> machinery.scope.launch { submit(effect) }
+            is EntryEffect.GiveToken -> sessions.give(effect.requestId, CallerEvent.Token(effect.token))
+            is EntryEffect.GiveAnswer -> sessions.give(effect.requestId, CallerEvent.Answer(effect.answer))
+            is EntryEffect.GiveFailure -> sessions.give(effect.requestId, CallerEvent.Failed(effect.failure))
+            is EntryEffect.WakeAt -> wakeLater(effect)
+        }
+    }
+
+    private suspend fun call(effect: EntryEffect.CallApplication) {
+        val address = effect.backEnd.announcement.address
+        val outcome = machinery.applications.call(address, effect.call, effect.timeoutMilliseconds)
+        perform(controller.callAnswered(effect.requestId, effect.attempt, outcome, now()))
+    }
+
+    private suspend fun readStatus(effect: EntryEffect.ReadOrderStatus) {
+        val address = effect.backEnd.announcement.address
+        val outcome = machinery.applications.orderStatus(address, effect.orderRequestId)
+        perform(controller.callAnswered(effect.requestId, effect.attempt, outcome, now()))
+    }
+
+    private suspend fun submit(effect: EntryEffect.Submit) {
+        val outcome = controls.submit(effect.command)
+        perform(controller.commandAnswered(effect.requestId, outcome, now()))
+    }
+
+    private fun wakeLater(effect: EntryEffect.WakeAt) {
+        val delay = (effect.atMilliseconds - now()).coerceAtLeast(0)
+        try {
+            machinery.timer.schedule(
+                { perform(controller.wake(effect.requestId, now())) },
+                delay,
+                TimeUnit.MILLISECONDS,
+            )
+        } catch (_: RejectedExecutionException) {
+            // The daemon is stopping; what it would wake is over.
+            return
+        }
+    }
+
+    private fun now(): Long = machinery.clock.monotonicMilliseconds()
+}
--- /dev/null
+++ b/standin/src/main/kotlin/cassiaspindle/standin/announce/Announcer.kt
@@ -0,0 +1,46 @@
+package cassiaspindle.standin.announce
+
+import cassiaspindle.schema.BackEndAnnouncement
+import cassiaspindle.schema.LeaveNotice
+import cassiaspindle.schema.LoadReport
+import cassiaspindle.transport.http.client.AnnouncementClient
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+
+private const val ANNOUNCE_MILLISECONDS = 400L
+
+/** Announces a stand-in at the entry VMs that route to it, and reports its load there. */
+internal class Announcer(
+    private val client: AnnouncementClient,
+    seeds: List<String>,
+    private val announcement: () -> BackEndAnnouncement,
+    private val running: () -> Int,
+) {
+    private val targets = AtomicReference(seeds.toSet())
+    private val seeds = seeds.toSet()
+    private val sequence = AtomicLong()
+
+    fun start(scope: CoroutineScope): Job = scope.launch {
+        while (isActive) {
+            targets.get().forEach { launch { announceAt(it) } }
+            delay(ANNOUNCE_MILLISECONDS)
+        }
+    }
+
+    suspend fun leave() {
+        val notice = LeaveNotice(announcement().name, announcement().incarnation)
+        targets.get().forEach { client.leave(it, notice) }
+    }
+
+    private suspend fun announceAt(address: String) {
+        val own = announcement()
+        val reply = client.announce(address, own) ?: return
+        if (reply.announceTo.isNotEmpty()) targets.set(seeds + reply.announceTo.map { it.address })
+        client.report(address, LoadReport(own.name, own.incarnation, sequence.incrementAndGet(), running(), queued = 0))
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/cassiaspindle/standin/application/StandInApplication.kt
@@ -0,0 +1,102 @@
+package cassiaspindle.standin.application
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.ApplicationAnswer
+import cassiaspindle.schema.ApplicationCall
+import cassiaspindle.schema.ApplicationOrderStatus
+import cassiaspindle.schema.BackEndAnnouncement
+import cassiaspindle.schema.PlainServiceDescription
+import cassiaspindle.standin.announce.Announcer
+import cassiaspindle.standin.model.FleetRecorder
+import cassiaspindle.standin.runner.StandInSettings
+import cassiaspindle.transport.http.client.AnnouncementClient
+import cassiaspindle.transport.http.server.HttpFrontEnd
+import cassiaspindle.transport.http.server.Metrics
+import cassiaspindle.transport.http.server.answer
+import cassiaspindle.transport.http.server.answerFailure
+import cassiaspindle.transport.http.server.readMessage
+import com.github.michaelbull.result.fold
+import io.ktor.server.application.call
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+
+private const val MAXIMUM_MESSAGE_BYTES = 1_048_576
+
+/** A plain service: answers calls, and counts those that may not be repeated. */
+class StandInApplication(
+    private val settings: StandInSettings,
+    private val description: PlainServiceDescription,
+    private val recorder: FleetRecorder,
+    client: AnnouncementClient,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val answersLost = AtomicBoolean(false)
+    private val running = AtomicInteger()
+    private val frontEnd = HttpFrontEnd.start("127.0.0.1", 0, Metrics()) { routes() }
+    private val announcer = Announcer(client, settings.entryAddresses, ::announcement, running::get)
+
+    /** Begins to announce itself. */
+    fun start() {
+        announcer.start(scope)
+    }
+
+    /** Runs calls from now on, but never answers them. */
+    fun loseAnswers() = answersLost.set(true)
+
+    /** Ends without notice. */
+    fun close() {
+        scope.cancel()
+        frontEnd.close()
+    }
+
+    private fun announcement() = BackEndAnnouncement(
+        name = settings.name,
+        incarnation = settings.incarnation,
+        address = "127.0.0.1:${frontEnd.port}",
+        availabilityZone = settings.availabilityZone,
+        capacity = settings.capacity,
+        plainService = description,
+    )
+
+    private fun Route.routes() {
+        post("/v1/calls") {
+            call.readMessage<ApplicationCall>(MAXIMUM_MESSAGE_BYTES).fold(
+                success = { request ->
+                    val answer = run(request)
+                    if (answer == null) call.answerFailure(Failure(ResultCode.UNKNOWN_PATH)) else call.answer(answer)
+                },
+                failure = { call.answerFailure(it) },
+            )
+        }
+        get("/v1/order-status") {
+            val requestId = call.request.queryParameters["requestId"].orEmpty()
+            val output = recorder.orderOutput(requestId)
+            call.answer(ApplicationOrderStatus(requestId, output != null, output))
+        }
+    }
+
+    private suspend fun run(request: ApplicationCall): ApplicationAnswer? {
+        val known = description.calls.firstOrNull { it.name == request.call } ?: return null
+        running.incrementAndGet()
+        val output = expectedOutput(request.call, request.body)
+        if (!known.repeatable) recorder.ranOrder(request.requestId, output)
+        if (answersLost.get()) awaitCancellation()
+        running.decrementAndGet()
+        return ApplicationAnswer(request.requestId, output)
+    }
+
+    /** What every instance answers. */
+    companion object {
+        /** The answer to [call] with [body]. */
+        fun expectedOutput(call: String, body: String): String = "$call done for: $body"
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/cassiaspindle/standin/runner/StandInRunner.kt
@@ -0,0 +1,162 @@
+package cassiaspindle.standin.runner
+
+import cassiaspindle.codec.decodeJson
+import cassiaspindle.codec.encodeJson
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.Acknowledgement
+import cassiaspindle.schema.BackEndAnnouncement
+import cassiaspindle.schema.EngineFrame
+import cassiaspindle.schema.EngineOrder
+import cassiaspindle.schema.EngineReply
+import cassiaspindle.schema.KvCache
+import cassiaspindle.schema.KvExportRequest
+import cassiaspindle.schema.RunnerDescription
+import cassiaspindle.schema.StepOutcome
+import cassiaspindle.schema.StepRequest
+import cassiaspindle.schema.StepResult
+import cassiaspindle.standin.announce.Announcer
+import cassiaspindle.standin.model.FleetRecorder
+import cassiaspindle.transport.http.client.AnnouncementClient
+import cassiaspindle.transport.http.server.HttpFrontEnd
+import cassiaspindle.transport.http.server.Metrics
+import cassiaspindle.transport.http.server.answer
+import cassiaspindle.transport.http.server.answerFailure
+import cassiaspindle.transport.http.server.readMessage
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import io.ktor.server.application.call
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.post
+import io.ktor.server.websocket.DefaultWebSocketServerSession
+import io.ktor.server.websocket.webSocket
+import io.ktor.websocket.Frame
+import io.ktor.websocket.readText
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+private const val MAXIMUM_MESSAGE_BYTES = 1_048_576
+private const val MICROSECONDS_PER_MILLISECOND = 1_000L
+
+/** What a stand-in is started with. */
+data class StandInSettings(
+    val name: String,
+    val incarnation: Long,
+    val availabilityZone: String,
+    val capacity: Int,
+    /** Entry VMs to announce at first. */
+    val entryAddresses: List<String>,
+)
+
+/** A model engine without a model: runs steps of its layer range and counts them. */
+class StandInRunner(
+    private val settings: StandInSettings,
+    private val description: RunnerDescription,
+    recorder: FleetRecorder,
+    client: AnnouncementClient,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val store = KvStore(description, recorder)
+    private val frozen = AtomicBoolean(false)
+    private val leaving = AtomicBoolean(false)
+    private val running = AtomicInteger()
+    private val newestFencingNumber = AtomicLong()
+    private val frontEnd = HttpFrontEnd.start("127.0.0.1", 0, Metrics()) { routes() }
+    private val announcer = Announcer(client, settings.entryAddresses, ::announcement, running::get)
+
+    /** The name. */
+    val name: String get() = settings.name
+
+    /** Attempts whose KV cache is held. */
+    val heldAttempts: Int get() = store.size
+
+    /** Begins to announce itself. */
+    fun start() {
+        announcer.start(scope)
+    }
+
+    /** Gives notice and refuses new attempts; attempts under way go on. */
+    suspend fun leave() {
+        leaving.set(true)
+        announcer.leave()
+    }
+
+    /** Falls silent with all connections open. */
+    fun freeze() = frozen.set(true)
+
+    /** Ends without notice. */
+    fun close() {
+        scope.cancel()
+        frontEnd.close()
+    }
+
+    private fun announcement() = BackEndAnnouncement(
+        name = settings.name,
+        incarnation = settings.incarnation,
+        address = "127.0.0.1:${frontEnd.port}",
+        availabilityZone = settings.availabilityZone,
+        capacity = settings.capacity,
+        runner = description,
+    )
+
+    private fun Route.routes() {
+        webSocket("/v1/steps") { serveSteps() }
+        post("/v1/kv/exports") {
+            val cache = call.readMessage<KvExportRequest>(MAXIMUM_MESSAGE_BYTES).get()?.let { store.export(it.attempt) }
+            if (cache == null) call.answerFailure(Failure(ResultCode.MALFORMED)) else call.answer(cache)
+        }
+        post("/v1/kv/imports") {
+            call.readMessage<KvCache>(MAXIMUM_MESSAGE_BYTES).fold(
+                success = {
+                    store.import(it)
+                    call.answer(Acknowledgement(accepted = true))
+                },
+                failure = { call.answerFailure(it) },
+            )
+        }
+        post("/v1/orders") {
+            call.readMessage<EngineOrder>(MAXIMUM_MESSAGE_BYTES).fold(
+                success = { call.answer(Acknowledgement(accepts(it))) },
+                failure = { call.answerFailure(it) },
+            )
+        }
+    }
+
+    private fun accepts(order: EngineOrder): Boolean {
+        val newest = newestFencingNumber.accumulateAndGet(order.fencingNumber, ::maxOf)
+        return !description.checksFencing || order.fencingNumber >= newest
+    }
+
+    private suspend fun DefaultWebSocketServerSession.serveSteps() {
+        val replies = Channel<EngineReply>(Channel.UNLIMITED)
+        launch { for (reply in replies) if (!frozen.get()) send(Frame.Text(encodeJson(reply))) }
+        for (frame in incoming) {
+            val text = (frame as? Frame.Text)?.readText() ?: break
+            val message = decodeJson<EngineFrame>(text).get() ?: break
+            message.heartbeat?.let { replies.send(EngineReply(heartbeat = it)) }
+            message.cancelled.forEach(store::cancel)
+            message.steps.forEach { step -> launch { replies.send(EngineReply(listOf(run(step)))) } }
+        }
+        replies.close()
+    }
+
+    private suspend fun run(step: StepRequest): StepResult {
+        val refused = leaving.get() && step.position == 0
+        if (refused || running.get() >= settings.capacity) {
+            val outcome = if (refused) StepOutcome.LEAVING else StepOutcome.OVERLOADED
+            return StepResult(step.request, step.attempt, step.position, step.endLayer, outcome)
+        }
+        running.incrementAndGet()
+        val layers = step.endLayer - step.firstLayer
+        delay(layers * description.layerMicroseconds / MICROSECONDS_PER_MILLISECOND)
+        return store.run(step).also { running.decrementAndGet() }
+    }
+}
