--- a/codec/src/main/kotlin/cassiaspindle/codec/CborCodec.kt
+++ b/codec/src/main/kotlin/cassiaspindle/codec/CborCodec.kt
@@ -30,8 +30,6 @@
         Err(Failure(ResultCode.MALFORMED, problem.firstLine()))
     } catch (problem: IllegalArgumentException) {
         Err(Failure(ResultCode.MALFORMED, problem.firstLine()))
-    } catch (problem: IndexOutOfBoundsException) {
-        Err(Failure(ResultCode.MALFORMED, problem.firstLine()))
     }
 
 /** Writes [message]. */
--- a/command/src/main/kotlin/cassiaspindle/command/ExitStatus.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/ExitStatus.kt
@@ -46,7 +46,7 @@
     val nested: List<Subcommand> = emptyList(),
 ) : Subcommand(name, description) {
     init {
-        if (nested.isNotEmpty()) subcommands(*nested.toTypedArray())
+        nested.forEach { subcommands(it) }
     }
 
     override fun execute() = Unit
--- a/command/src/main/kotlin/cassiaspindle/command/Main.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/Main.kt
@@ -38,7 +38,7 @@
         OrdersCommand(outcome),
         DrainCommand(outcome),
     )
-    parser.subcommands(*commands.toTypedArray())
+    commands.forEach { parser.subcommands(it) }
     endUsageErrorsWith(parser, ExitStatus.USAGE)
     commands.forEach { endUsageErrorsWith(it, ExitStatus.USAGE) }
     commands.flatMap { it.nested }.forEach { endUsageErrorsWith(it, ExitStatus.USAGE) }
--- a/command/src/main/kotlin/cassiaspindle/command/daemon/DaemonCommands.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/daemon/DaemonCommands.kt
@@ -38,7 +38,9 @@
     override fun execute() {
         val started = SettingsReader.read<EntrySettings>(Path.of(settings)).flatMap { read ->
             useLogLevel(read.logLevel)
-            Keys.read(read.keyFiles).map { keys -> EntryDaemon(read, EntryEnvironment(keys, Clock.system, secureRandom())) }
+            Keys.read(read.keyFiles).map { keys ->
+                EntryDaemon(read, EntryEnvironment(keys, Clock.system, secureRandom()))
+            }
         }
         outcome.take(started)
         started.onSuccess(::serve)
@@ -74,7 +76,8 @@
 
     /** After a failed sync nothing in memory may be trusted to be durable: the process ends without any more work. */
     private fun stopAtOnce(failure: Failure) {
-        Logger.error { "event=control_failed code=${failure.code.number} name=${failure.code} detail=\"${failure.detail}\"" }
+        val code = "code=${failure.code.number} name=${failure.code}"
+        Logger.error { "event=control_failed $code detail=\"${failure.detail}\"" }
         Runtime.getRuntime().halt(1)
     }
 }
--- a/command/src/main/kotlin/cassiaspindle/command/local/Example.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/Example.kt
@@ -76,7 +76,7 @@
         /** Four large accelerators with half of the layers each, four small ones with overlapping quarters. */
         private fun runners(model: String, layers: Int): List<RunnerDescription> {
             val half = layers / 2
-            val quarter = layers / 4
+            val quarter = half / 2
             val large = listOf(0 to half, half to layers, 0 to half, half to layers)
                 .map { (first, end) -> runner("large", model, first, end, LARGE_LAYER_MICROSECONDS) }
             val small = (0 until layers step quarter).map { first ->
--- a/command/src/main/kotlin/cassiaspindle/command/local/LocalRun.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LocalRun.kt
@@ -7,8 +7,8 @@
 import cassiaspindle.schema.ServiceAnswer
 import cassiaspindle.schema.ServiceRequest
 import cassiaspindle.standin.application.StandInApplication
+import cassiaspindle.standin.model.MODEL_LAYERS
 import cassiaspindle.standin.model.StandInModel
-import cassiaspindle.standin.runner.MODEL_LAYERS
 import cassiaspindle.transport.http.client.CallerClient
 import cassiaspindle.transport.http.client.newHttpClient
 import com.github.michaelbull.result.Err
@@ -130,7 +130,8 @@
         val once = runs == 1 && first.get()?.output == expected && again.get()?.output == expected
         (if (once) ordersDone else ordersFailed).incrementAndGet()
         val milliseconds = clock.monotonicMilliseconds() - begun
-        print("order=${example.orderService} ${outcome(first)} resent_${outcome(again)} runs=$runs milliseconds=$milliseconds")
+        val outcomes = "${outcome(first)} resent_${outcome(again)}"
+        print("order=${example.orderService} $outcomes runs=$runs milliseconds=$milliseconds")
     }
 
     private fun outcome(result: Result<ServiceAnswer, Failure>): String = result.fold(
--- a/command/src/main/kotlin/cassiaspindle/command/local/LocalSystem.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LocalSystem.kt
@@ -66,7 +66,8 @@
     /** The plain services. */
     val applications: List<StandInApplication> = (0 until APPLICATIONS).map { index ->
         val description = PlainServiceDescription(example.application, example.calls)
-        StandInApplication(standIn("${example.application}-$index", index, RUNNER_CAPACITY), description, recorder, announcements)
+        val name = "${example.application}-$index"
+        StandInApplication(standIn(name, index, RUNNER_CAPACITY), description, recorder, announcements)
     }
 
     /** The operators' side of the control replicas. */
@@ -125,7 +126,7 @@
             keyFiles = KeyFiles("unused", "unused", "unused"),
         )
         val environment = ControlEnvironment(keys, clock, random) { failure ->
-            Logger.error { "event=control_failed name=${address.name} code=${failure.code.number} detail=${failure.detail}" }
+            Logger.error { "event=control_failed name=${address.name} code=${failure.code.number}" }
         }
         return ControlDaemon.start(settings, environment).getOrThrow { IllegalStateException(it.toString()) }
     }
--- a/command/src/main/kotlin/cassiaspindle/command/operator/DocumentCommand.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/operator/DocumentCommand.kt
@@ -16,7 +16,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.get
-import com.github.michaelbull.result.map
 import com.github.michaelbull.result.onSuccess
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
--- a/command/src/main/kotlin/cassiaspindle/command/operator/OrdersCommand.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/operator/OrdersCommand.kt
@@ -44,8 +44,11 @@
     private val account by argument(ArgType.String, description = "The client account")
     private val key by argument(ArgType.String, description = "The Idempotency-Key")
     private val settings by option(ArgType.String, "settings", description = "Client settings file").required()
-    private val state by option(ArgType.Choice(listOf("done", "not-run"), { it }), "state", description = "What is known")
-        .required()
+    private val state by option(
+        ArgType.Choice(listOf("done", "not-run"), { it }),
+        "state",
+        description = "What is known",
+    ).required()
     private val output by option(ArgType.String, "output", description = "The outcome of a done order").default("")
 
     override fun execute() {
--- a/command/src/main/kotlin/cassiaspindle/command/operator/StatusCommand.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/operator/StatusCommand.kt
@@ -26,8 +26,14 @@
     private suspend fun show(session: OperatorSession): Result<Unit, Failure> {
         val answered = session.settings.controls.count { control ->
             session.client.status(control).fold(
-                success = { true.also { _ -> print(it) } },
-                failure = { false.also { _ -> println("control=${control.name} code=${it.code.number} name=${it.code}") } },
+                success = {
+                    print(it)
+                    true
+                },
+                failure = {
+                    println("control=${control.name} code=${it.code.number} name=${it.code}")
+                    false
+                },
             )
         }
         return if (answered > 0) Ok(Unit) else Err(Failure(ResultCode.CONTROL_UNREACHABLE))
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -1,24 +1,18 @@
 package cassiaspindle.daemon.control
 
 import cassiaspindle.codec.Keys
-import cassiaspindle.control.group.ControlEffect
 import cassiaspindle.control.group.ControlNode
 import cassiaspindle.control.group.ControlNodeSettings
 import cassiaspindle.core.concurrency.RandomSource
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.core.time.Clock
-import cassiaspindle.replication.DurableWork
 import cassiaspindle.replication.GroupImage
-import cassiaspindle.schema.CommandOutcome
-import cassiaspindle.schema.ControlCommand
 import cassiaspindle.schema.ControlSettings
-import cassiaspindle.schema.EntryNews
 import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.PeerFrameKind
 import cassiaspindle.schema.Replica
-import cassiaspindle.schema.StoredDocument
 import cassiaspindle.storage.DataFolder
 import cassiaspindle.storage.DurableLog
 import cassiaspindle.storage.GroupReplay
@@ -28,7 +22,6 @@
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerClient
-import cassiaspindle.transport.peer.PeerConnection
 import cassiaspindle.transport.peer.PeerHandlers
 import cassiaspindle.transport.peer.PeerServer
 import cassiaspindle.transport.peer.PeerSettings
@@ -47,10 +40,10 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicReference
 
 private const val PRESENCE_MILLISECONDS = 100L
 private const val SNAPSHOT_EVERY_ENTRIES = 5_000
+private const val TICKS_PER_TIMEOUT = 10L
 
 /** What a daemon is started with besides its settings. */
 data class ControlEnvironment(
@@ -75,26 +68,39 @@
     }
     private val metrics = Metrics()
     private val names = settings.replicas.map { it.name }
+    private val own = settings.replicas.first { it.name == settings.name }
     private val self = Replica(settings.name, folder.identity())
     private val identityChoice = IdentityChoice(self, names)
-    private val node = AtomicReference<ControlNode?>(null)
-    private val commands = CommandDesk()
     private val peerSettings = PeerSettings(settings.name, environment.keys.system, settings.maximumMessageBytes)
     private val clients = settings.replicas
-        .filter { it.name != settings.name }
-        .associate { it.name to PeerClient(it.name, HostAndPort.parse(it.peerAddress), peerSettings, selector, ::heard) }
+        .filter { it != own }
+        .associate { peer ->
+            val address = HostAndPort.parse(peer.peerAddress)
+            peer.name to PeerClient(peer.name, address, peerSettings, selector, ::heard)
+        }
+    private val performer = EffectPerformer(
+        environment.clock,
+        Outgoing(
+            toReplica = { name, frame -> clients[name]?.send(frame) },
+            toEntries = { frame -> server.broadcast(frame) },
+        ),
+    )
     private val writer = DurableWriter(
         opened.log,
-        DurableHandlers(::durable, images = { node.get()?.images().orEmpty() }, onFailure = environment.onFatal),
+        DurableHandlers(
+            onDurable = performer::durable,
+            images = { performer.node?.images().orEmpty() },
+            onFailure = environment.onFatal,
+        ),
     )
-    private val server = PeerServer.start(
-        HostAndPort.parse(own().peerAddress),
+    private val server: PeerServer = PeerServer.start(
+        HostAndPort.parse(own.peerAddress),
         peerSettings,
         scope,
-        PeerHandlers(::received, onRefused = { metrics.count(it.code) }),
+        PeerHandlers(PeerDesk(performer, identityChoice)::received, onRefused = { metrics.count(it.code) }),
     )
-    private val frontEnd = HostAndPort.parse(own().operatorAddress).let { address ->
-        val operators = OperatorDesk(settings, environment, metrics, node::get, ::submit)
+    private val frontEnd = HostAndPort.parse(own.operatorAddress).let { address ->
+        val operators = OperatorDesk(settings, environment, metrics, performer)
         HttpFrontEnd.start(address.host, address.port, metrics) { controlRoutes(operators.frontEnd()) }
     }
 
@@ -105,7 +111,7 @@
         server.close()
         scope.cancel()
         selector.close()
-        writer.close()
+        if (performer.node != null) writer.close()
         folder.close()
         Logger.info { "event=control_stopped name=${settings.name}" }
     }
@@ -146,20 +152,13 @@
             orderRetentionMilliseconds = settings.orderRetentionMilliseconds,
             snapshotEveryEntries = SNAPSHOT_EVERY_ENTRIES,
         )
-        node.set(ControlNode(nodeSettings, images, environment.random, now(), writer::add))
+        performer.begin(ControlNode(nodeSettings, images, environment.random, performer.now(), writer::add))
         writer.start()
         val period = settings.electionTimeoutMilliseconds / TICKS_PER_TIMEOUT
-        timer.scheduleAtFixedRate(::tick, period, period, TimeUnit.MILLISECONDS)
-        Logger.info { "event=control_started name=${settings.name} identity=${self.identity} records=${opened.records.size}" }
-    }
-
-    private fun tick() {
-        node.get()?.let { carryOut(it.tick(now())) }
-    }
-
-    private fun durable(group: Int, work: DurableWork) {
-        work.messages.forEach { carryOut(listOf(ControlEffect.Send(it))) }
-        node.get()?.let { carryOut(it.persisted(group, work.mark, now())) }
+        timer.scheduleAtFixedRate(performer::tick, period, period, TimeUnit.MILLISECONDS)
+        Logger.info {
+            "event=control_started name=${settings.name} identity=${self.identity} records=${opened.records.size}"
+        }
     }
 
     /** Frames that come back on the connections that this replica opened. */
@@ -167,77 +166,8 @@
         if (frame.kind == PeerFrameKind.PRESENCE) identityChoice.heard(frame)
     }
 
-    private fun received(connection: PeerConnection, frame: PeerFrame) {
-        val running = node.get()
-        if (frame.kind == PeerFrameKind.PRESENCE) {
-            connection.send(identityChoice.presence(running?.membership()))
-        }
-        if (running != null) serve(running, connection, frame)
-    }
-
-    private fun serve(node: ControlNode, connection: PeerConnection, frame: PeerFrame) {
-        frame.replication?.let { carryOut(node.receive(it, now())) }
-        frame.heartbeat?.let { heartbeat ->
-            val news = node.heartbeat(heartbeat, now())
-            if (news != null) connection.send(PeerFrame(PeerFrameKind.NEWS, news = news))
-        }
-        frame.command?.let { command ->
-            submit(command) { outcome, leader -> reply(connection, frame, seen(node, outcome), leader) }
-        }
-        frame.orderName?.let { name -> reply(connection, frame, seen(node, node.readOrder(name, now())), null) }
-    }
-
-    /** An order in progress whose entry VM is gone is told as in doubt. */
-    private fun seen(node: ControlNode, outcome: CommandOutcome): CommandOutcome =
-        outcome.copy(order = outcome.order?.let { it.copy(state = node.stateOf(it, now())) })
-
-    private fun reply(connection: PeerConnection, frame: PeerFrame, outcome: CommandOutcome, leader: String?) {
-        val kind = PeerFrameKind.COMMAND_REPLY
-        connection.send(PeerFrame(kind, correlation = frame.correlation, outcome = outcome, leader = leader))
-    }
-
-    private fun submit(command: ControlCommand, onAnswer: CommandAnswer) {
-        val running = node.get()
-        if (running == null) {
-            onAnswer(CommandOutcome(ResultCode.NOT_LEADER.number), null)
-        } else {
-            val ticket = commands.open(onAnswer)
-            carryOut(running.submit(command, ticket, now(), environment.clock.wallMilliseconds()))
-        }
-    }
-
-    private fun carryOut(effects: List<ControlEffect>) = effects.forEach { effect ->
-        when (effect) {
-            is ControlEffect.Send -> clients[effect.message.to.name]
-                ?.send(PeerFrame(PeerFrameKind.REPLICATION, replication = effect.message))
-            is ControlEffect.Answer -> commands.close(effect)
-            is ControlEffect.Publish -> publish(effect.document)
-        }
-    }
-
-    private fun publish(document: StoredDocument) {
-        Logger.info {
-            "event=document_accepted service=${document.document.service} version=${document.document.version} " +
-                "sequence=${document.sequence}"
-        }
-        val news = EntryNews(
-            sentMilliseconds = 0,
-            leaseMilliseconds = 0,
-            documentSequence = document.sequence,
-            documents = listOf(document),
-            addresses = emptyList(),
-        )
-        server.broadcast(PeerFrame(PeerFrameKind.NEWS, news = news))
-    }
-
-    private fun own() = settings.replicas.first { it.name == settings.name }
-
-    private fun now(): Long = environment.clock.monotonicMilliseconds()
-
     /** Starting. */
     companion object {
-        private const val TICKS_PER_TIMEOUT = 10L
-
         /** Opens the data folder, reads the log and starts; fails with a numbered code. */
         fun start(settings: ControlSettings, environment: ControlEnvironment): Result<ControlDaemon, Failure> =
             checkNamed(settings)
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/DurableWriter.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/DurableWriter.kt
@@ -6,10 +6,10 @@
 import cassiaspindle.schema.LogRecord
 import cassiaspindle.schema.LogRecordKind
 import cassiaspindle.storage.DurableLog
-import com.github.michaelbull.result.flatMap
-import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.fold
 import java.util.concurrent.LinkedBlockingQueue
 import kotlin.concurrent.thread
 
--- /dev/null
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/EffectPerformer.kt
@@ -0,0 +1,84 @@
+package cassiaspindle.daemon.control
+
+import cassiaspindle.control.group.ControlEffect
+import cassiaspindle.control.group.ControlNode
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.core.time.Clock
+import cassiaspindle.replication.DurableWork
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.EntryNews
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.PeerFrameKind
+import cassiaspindle.schema.ReplicationMessage
+import cassiaspindle.schema.StoredDocument
+import org.tinylog.kotlin.Logger
+import java.util.concurrent.atomic.AtomicReference
+
+/** Where frames go, as function types; they must not wait. */
+internal data class Outgoing(
+    val toReplica: (name: String, PeerFrame) -> Unit,
+    val toEntries: (PeerFrame) -> Unit,
+)
+
+/** Calls the control node and carries out its effects. */
+internal class EffectPerformer(private val clock: Clock, private val outgoing: Outgoing) {
+    private val commands = CommandDesk()
+    private val running = AtomicReference<ControlNode?>(null)
+
+    /** The node, or null before it has begun. */
+    val node: ControlNode? get() = running.get()
+
+    fun begin(node: ControlNode) = running.set(node)
+
+    fun now(): Long = clock.monotonicMilliseconds()
+
+    fun tick() {
+        node?.let { perform(it.tick(now())) }
+    }
+
+    fun receive(message: ReplicationMessage) {
+        node?.let { perform(it.receive(message, now())) }
+    }
+
+    /** Takes the news that [work] is synced. */
+    fun durable(group: Int, work: DurableWork) {
+        work.messages.forEach(::send)
+        node?.let { perform(it.persisted(group, work.mark, now())) }
+    }
+
+    fun submit(command: ControlCommand, onAnswer: CommandAnswer) {
+        val begun = node
+        if (begun == null) {
+            onAnswer(CommandOutcome(ResultCode.NOT_LEADER.number), null)
+        } else {
+            perform(begun.submit(command, commands.open(onAnswer), now(), clock.wallMilliseconds()))
+        }
+    }
+
+    private fun perform(effects: List<ControlEffect>) = effects.forEach { effect ->
+        when (effect) {
+            is ControlEffect.Send -> send(effect.message)
+            is ControlEffect.Answer -> commands.close(effect)
+            is ControlEffect.Publish -> publish(effect.document)
+        }
+    }
+
+    private fun send(message: ReplicationMessage) =
+        outgoing.toReplica(message.to.name, PeerFrame(PeerFrameKind.REPLICATION, replication = message))
+
+    private fun publish(document: StoredDocument) {
+        Logger.info {
+            "event=document_accepted service=${document.document.service} version=${document.document.version} " +
+                "sequence=${document.sequence}"
+        }
+        val news = EntryNews(
+            sentMilliseconds = 0,
+            leaseMilliseconds = 0,
+            documentSequence = document.sequence,
+            documents = listOf(document),
+            addresses = emptyList(),
+        )
+        outgoing.toEntries(PeerFrame(PeerFrameKind.NEWS, news = news))
+    }
+}
--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EffectPerformer.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EffectPerformer.kt
@@ -58,18 +58,18 @@
     private suspend fun call(effect: EntryEffect.CallApplication) {
         val address = effect.backEnd.announcement.address
         val outcome = machinery.applications.call(address, effect.call, effect.timeoutMilliseconds)
-        perform(controller.callAnswered(effect.requestId, effect.attempt, outcome, now()))
+        perform(controller.callEnded(effect.requestId, effect.attempt, outcome, now()))
     }
 
     private suspend fun readStatus(effect: EntryEffect.ReadOrderStatus) {
         val address = effect.backEnd.announcement.address
         val outcome = machinery.applications.orderStatus(address, effect.orderRequestId)
-        perform(controller.callAnswered(effect.requestId, effect.attempt, outcome, now()))
+        perform(controller.callEnded(effect.requestId, effect.attempt, outcome, now()))
     }
 
     private suspend fun submit(effect: EntryEffect.Submit) {
         val outcome = controls.submit(effect.command)
-        perform(controller.commandAnswered(effect.requestId, outcome, now()))
+        perform(controller.commandDecided(effect.requestId, outcome, now()))
     }
 
     private fun wakeLater(effect: EntryEffect.WakeAt) {
--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
@@ -3,11 +3,7 @@
 import cassiaspindle.codec.Keys
 import cassiaspindle.core.concurrency.RandomSource
 import cassiaspindle.core.time.Clock
-import cassiaspindle.entry.catalog.ServiceCatalog
-import cassiaspindle.entry.membership.BackEndRegistry
-import cassiaspindle.entry.request.EntryIdentity
 import cassiaspindle.entry.request.Policies
-import cassiaspindle.entry.request.RequestController
 import cassiaspindle.schema.EntryHeartbeat
 import cassiaspindle.schema.EntryNews
 import cassiaspindle.schema.EntrySettings
@@ -18,7 +14,6 @@
 import cassiaspindle.transport.http.operator.EntryOperatorFrontEnd
 import cassiaspindle.transport.http.operator.entryOperatorRoutes
 import cassiaspindle.transport.http.server.HttpFrontEnd
-import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerSettings
 import io.ktor.network.selector.SelectorManager
@@ -33,7 +28,8 @@
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
-private const val HEARTBEATS_PER_LEASE = 4L
+private const val HEARTBEAT_MILLISECONDS = 400L
+private const val DRAIN_CHECK_MILLISECONDS = 50L
 
 /** What an entry VM is started with besides its settings. */
 data class EntryEnvironment(
@@ -41,27 +37,16 @@
     val clock: Clock,
     val random: RandomSource,
     val policies: Policies = Policies(random),
-    /** Length of the lease that the control replicas give, in milliseconds; heartbeats follow from it. */
-    val leaseMilliseconds: Long = 2_000L,
 )
 
-/** An entry VM: carries out what [RequestController] decides. */
-class EntryDaemon(private val settings: EntrySettings, private val environment: EntryEnvironment) {
-    private val identity = EntryIdentity(
-        name = settings.name,
-        incarnation = environment.clock.wallMilliseconds(),
-        availabilityZone = settings.availabilityZone,
-        progressMilliseconds = settings.progressMilliseconds,
-    )
+/** An entry VM: carries out what the request decisions ask for. */
+class EntryDaemon(private val settings: EntrySettings, environment: EntryEnvironment) {
+    private val parts = EntryParts(settings, environment)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val timer: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { task ->
         Thread(task, "entry-timer").apply { isDaemon = true }
     }
-    private val metrics = Metrics()
-    private val catalog = ServiceCatalog()
-    private val registry = BackEndRegistry(settings.backEndLeaseMilliseconds)
-    private val controller = RequestController(identity, catalog, registry, environment.policies)
     private val client = newHttpClient()
     private val controls = ControlLink(
         settings.controls,
@@ -69,21 +54,15 @@
         selector,
         ::heard,
     )
-    private val sessions = CallerSessions()
-    private val performer = EffectPerformer(
-        Machinery(scope, timer, environment.clock, client, ApplicationClient(client)),
-        controller,
-        controls,
-        sessions,
-    )
-    private val callers = CallerDesk(settings, environment, identity, metrics, catalog, controller, controls, performer, sessions)
-    private val backEnds = BackEndDesk(settings, environment, metrics, catalog, registry)
-    private val operators = EntryOperatorFrontEnd(environment.keys.operator, metrics, ::drain)
+    private val machinery = Machinery(scope, timer, environment.clock, client, ApplicationClient(client))
+    private val performer = EffectPerformer(machinery, parts.controller, controls, parts.sessions)
+    private val callers = CallerDesk(parts, performer, OrderReader(parts.admission, controls))
+    private val operators = EntryOperatorFrontEnd(environment.keys.operator, parts.metrics, ::drain)
     private val drained = CountDownLatch(1)
     private val listen = HostAndPort.parse(settings.listenAddress)
-    private val frontEnd = HttpFrontEnd.start(listen.host, listen.port, metrics) {
+    private val frontEnd = HttpFrontEnd.start(listen.host, listen.port, parts.metrics) {
         callerRoutes(callers.frontEnd())
-        backEndRoutes(backEnds.frontEnd())
+        backEndRoutes(BackEndDesk(parts).frontEnd())
         entryOperatorRoutes(operators)
     }
 
@@ -91,23 +70,22 @@
     val address: String = HostAndPort(listen.host, frontEnd.port).toString()
 
     /** Whether the entry VM admits requests. */
-    val isReady: Boolean get() = catalog.hasLease(now())
+    val isReady: Boolean get() = parts.catalog.hasLease(parts.now())
 
     /** Names of the backend servers that may get work. */
-    val usableBackEnds: List<String> get() = registry.usable(now()).map { it.name }
+    val usableBackEnds: List<String> get() = parts.registry.usable(parts.now()).map { it.name }
 
     init {
-        Gauge.builder("cassiaspindle.requests.in.flight", controller) { it.inFlight.toDouble() }
-            .register(metrics.registry)
-        Gauge.builder("cassiaspindle.backends.usable", registry) { it.usable(now()).size.toDouble() }
-            .register(metrics.registry)
+        Gauge.builder("cassiaspindle.requests.in.flight", parts.controller) { it.inFlight.toDouble() }
+            .register(parts.metrics.registry)
+        Gauge.builder("cassiaspindle.backends.usable", this) { it.usableBackEnds.size.toDouble() }
+            .register(parts.metrics.registry)
     }
 
     /** Begins to hear the control replicas. */
     fun start() {
         controls.start(scope)
-        val period = environment.leaseMilliseconds / HEARTBEATS_PER_LEASE
-        timer.scheduleAtFixedRate(::sendHeartbeat, 0, period, TimeUnit.MILLISECONDS)
+        timer.scheduleAtFixedRate(::sendHeartbeat, 0, HEARTBEAT_MILLISECONDS, TimeUnit.MILLISECONDS)
         Logger.info { "event=entry_started name=${settings.name} address=$address" }
     }
 
@@ -137,23 +115,23 @@
     }
 
     private fun refuseNewWork() {
-        controller.drain()
+        parts.admission.close()
         timer.scheduleWithFixedDelay(::checkDrained, 0, DRAIN_CHECK_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
     private fun checkDrained() {
-        if (controller.inFlight == 0) drained.countDown()
+        if (parts.controller.inFlight == 0) drained.countDown()
     }
 
     private fun sendHeartbeat() {
         controls.send(
             EntryHeartbeat(
                 name = settings.name,
-                incarnation = identity.incarnation,
+                incarnation = parts.identity.incarnation,
                 address = address,
                 availabilityZone = settings.availabilityZone,
-                documentSequence = catalog.sequence,
-                sentMilliseconds = now(),
+                documentSequence = parts.catalog.sequence,
+                sentMilliseconds = parts.now(),
                 draining = callers.isLeaving,
             ),
         )
@@ -161,14 +139,8 @@
 
     /** News with a lease answers a heartbeat; news without one is a pushed document. */
     private fun heard(news: EntryNews) {
-        val before = catalog.sequence
-        if (news.leaseMilliseconds > 0) catalog.renew(news) else news.documents.forEach(catalog::push)
-        if (catalog.sequence != before) sendHeartbeat()
-    }
-
-    private fun now(): Long = environment.clock.monotonicMilliseconds()
-
-    private companion object {
-        const val DRAIN_CHECK_MILLISECONDS = 50L
+        val before = parts.catalog.sequence
+        if (news.leaseMilliseconds > 0) parts.catalog.renew(news) else news.documents.forEach(parts.catalog::push)
+        if (parts.catalog.sequence != before) sendHeartbeat()
     }
 }
--- /dev/null
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/OrderReader.kt
@@ -0,0 +1,35 @@
+package cassiaspindle.daemon.entry
+
+import cassiaspindle.core.identity.OrderKey
+import cassiaspindle.core.order.toStatus
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.entry.admission.Admission
+import cassiaspindle.entry.admission.AdmissionControl
+import cassiaspindle.schema.OrderName
+import cassiaspindle.schema.OrderStatus
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+
+private const val ORDER_READ_MILLISECONDS = 3_000L
+
+/** Reads the status of orders from the ledger for their callers. */
+internal class OrderReader(private val admission: AdmissionControl, private val controls: ControlLink) {
+    /** The status of the order of the account that shows the key with [keyDigest]. */
+    suspend fun read(service: String, keyDigest: String, key: OrderKey): Result<OrderStatus, Failure> =
+        when (val identified = admission.identify(service, keyDigest)) {
+            is Admission.Refused -> Err(Failure(identified.code))
+            is Admission.Admitted -> read(service, OrderName(identified.caller.account, key.text))
+        }
+
+    private suspend fun read(service: String, name: OrderName): Result<OrderStatus, Failure> {
+        val outcome = controls.readOrder(name, ORDER_READ_MILLISECONDS)
+        val order = outcome?.order
+        return when {
+            outcome == null -> Err(Failure(ResultCode.CONTROL_UNREACHABLE))
+            order == null || order.intent.service != service -> Err(Failure(ResultCode.UNKNOWN_ORDER))
+            else -> Ok(order.toStatus())
+        }
+    }
+}
--- /dev/null
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
@@ -0,0 +1,49 @@
+package cassiaspindle.control.group
+
+import cassiaspindle.control.session.EntrySessions
+import cassiaspindle.core.concurrency.Sharded
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.DocumentHistory
+import cassiaspindle.schema.OrderName
+import cassiaspindle.schema.OrderRecord
+import cassiaspindle.schema.OrderState
+import cassiaspindle.schema.StoredDocument
+
+/** Reads of the replicated state. */
+class ControlReads internal constructor(private val shards: Sharded<GroupShard>, private val sessions: EntrySessions) {
+    /** Whether this replica leads group 0 and may answer reads of documents. */
+    fun canReadDocuments(nowMilliseconds: Long): Boolean =
+        shards.withIndex(DOCUMENT_GROUP) { it.group.canRead(nowMilliseconds) }
+
+    /** The newest document of [service], or null; the caller checks [canReadDocuments]. */
+    fun document(service: String): StoredDocument? =
+        shards.withIndex(DOCUMENT_GROUP) { it.machine.documents.find(service) }
+
+    /** The accepted versions of [service]; the caller checks [canReadDocuments]. */
+    fun history(service: String): DocumentHistory =
+        shards.withIndex(DOCUMENT_GROUP) { DocumentHistory(service, it.machine.documents.history(service)) }
+
+    /** Reads an order; [ResultCode.NOT_LEADER] where this replica can't answer for the group. */
+    fun order(name: OrderName, nowMilliseconds: Long): CommandOutcome =
+        shards.withIndex(ledgerGroupOf(name, shards.size)) { shard ->
+            if (shard.group.canRead(nowMilliseconds)) {
+                val record = shard.machine.orders.find(name)
+                val code = if (record == null) ResultCode.UNKNOWN_ORDER else ResultCode.OK
+                CommandOutcome(code.number, order = record)
+            } else {
+                CommandOutcome(ResultCode.NOT_LEADER.number)
+            }
+        }
+
+    /** Orders without an outcome in the groups that this replica leads. */
+    fun unsettledOrders(nowMilliseconds: Long): List<OrderRecord> = shards.mapEach { shard ->
+        if (shard.group.canRead(nowMilliseconds)) shard.machine.orders.unsettled() else emptyList()
+    }.flatten()
+
+    /** The state of [record] with what the entry leases tell: an order whose entry VM is gone is in doubt. */
+    fun stateOf(record: OrderRecord, nowMilliseconds: Long): OrderState {
+        val entryLives = sessions.isLive(record.intent.entry, record.intent.entryIncarnation, nowMilliseconds)
+        return if (record.state == OrderState.IN_PROGRESS && !entryLives) OrderState.IN_DOUBT else record.state
+    }
+}
--- /dev/null
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/EntryLeases.kt
@@ -0,0 +1,53 @@
+package cassiaspindle.control.group
+
+import cassiaspindle.control.session.EntrySessions
+import cassiaspindle.core.concurrency.Sharded
+import cassiaspindle.schema.EntryHeartbeat
+import cassiaspindle.schema.EntryNews
+import cassiaspindle.schema.StoredDocument
+
+/** The leases of entry VMs, and what they tell of documents in force. */
+class EntryLeases internal constructor(
+    private val shards: Sharded<GroupShard>,
+    private val sessions: EntrySessions,
+    private val leaseMilliseconds: Long,
+) {
+    /**
+     * Takes the heartbeat of an entry VM; the reply renews its lease, null where this replica does not lead group 0.
+     *
+     * Every replica hears the heartbeats, so that each can tell whether the entry VM of an order lives.
+     */
+    fun heartbeat(heartbeat: EntryHeartbeat, nowMilliseconds: Long): EntryNews? {
+        sessions.renew(heartbeat, nowMilliseconds)
+        val news = shards.withIndex(DOCUMENT_GROUP) { shard ->
+            val documents = shard.machine.documents
+            DocumentNews(documents.sequence, documents.acceptedAfter(heartbeat.documentSequence))
+                .takeIf { shard.group.canRead(nowMilliseconds) }
+        }
+        return news?.let {
+            EntryNews(
+                sentMilliseconds = heartbeat.sentMilliseconds,
+                leaseMilliseconds = leaseMilliseconds,
+                documentSequence = it.sequence,
+                documents = it.documents,
+                addresses = sessions.addresses(nowMilliseconds),
+            )
+        }
+    }
+
+    /**
+     * Whether no entry VM admits requests under a document older than [sequence].
+     *
+     * For one lease after it was elected a leader can't know of all leases that its predecessor gave.
+     */
+    fun isInForce(sequence: Long, nowMilliseconds: Long): Boolean {
+        val since = shards.withIndex(DOCUMENT_GROUP) { it.leadsSinceMilliseconds }
+        val knowsAllLeases = since != null && nowMilliseconds >= since + leaseMilliseconds
+        return knowsAllLeases && lacking(sequence, nowMilliseconds).isEmpty()
+    }
+
+    /** Names of entry VMs with a lease that lack document [sequence]. */
+    fun lacking(sequence: Long, nowMilliseconds: Long): List<String> = sessions.lacking(sequence, nowMilliseconds)
+
+    private data class DocumentNews(val sequence: Long, val documents: List<StoredDocument>)
+}
--- a/decision/control/src/main/kotlin/cassiaspindle/control/ledger/OrderLedger.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/ledger/OrderLedger.kt
@@ -72,15 +72,17 @@
     private fun recordNew(intent: OrderIntent): CommandOutcome {
         newestMilliseconds = maxOf(newestMilliseconds, intent.atMilliseconds)
         val created = OrderKey.parse(intent.name.key)?.createdMilliseconds
-        if (created == null) return CommandOutcome(ResultCode.ORDER_KEY_INVALID.number)
-        if (created > newestMilliseconds + MAXIMUM_KEY_LEAD_MILLISECONDS) {
-            return CommandOutcome(ResultCode.ORDER_KEY_INVALID.number)
+        return when {
+            created == null || created > newestMilliseconds + MAXIMUM_KEY_LEAD_MILLISECONDS ->
+                CommandOutcome(ResultCode.ORDER_KEY_INVALID.number)
+            created <= oldestKeyMilliseconds() -> CommandOutcome(ResultCode.ORDER_KEY_TOO_OLD.number)
+            else -> {
+                dropOld()
+                val record = OrderRecord(intent, OrderState.IN_PROGRESS)
+                records[intent.name] = record
+                CommandOutcome(ResultCode.OK.number, order = record)
+            }
         }
-        if (created <= oldestKeyMilliseconds()) return CommandOutcome(ResultCode.ORDER_KEY_TOO_OLD.number)
-        dropOld()
-        val record = OrderRecord(intent, OrderState.IN_PROGRESS)
-        records[intent.name] = record
-        return CommandOutcome(ResultCode.OK.number, order = record)
     }
 
     private fun oldestKeyMilliseconds(): Long = newestMilliseconds - retentionMilliseconds
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/CallStageDriver.kt
@@ -0,0 +1,67 @@
+package cassiaspindle.entry.request
+
+import cassiaspindle.entry.membership.BackEndView
+import cassiaspindle.schema.ApplicationCall
+import cassiaspindle.schema.CallStage
+
+/** Makes the call of a stage, and makes it again where that is allowed. */
+internal class CallStageDriver(
+    private val plan: RequestPlan,
+    private val context: RequestContext,
+    private val progress: RequestProgress,
+) {
+    private var backEnd: BackEndView? = null
+    private var stage: CallStage? = null
+
+    /** Whether a call is under way. */
+    val isRunning: Boolean get() = backEnd != null
+
+    /** Whether a call that may not be repeated is under way. */
+    val holdsOrder: Boolean get() = isRunning && stage?.repeatable == false
+
+    /** Makes the call; false where no plain service has room. */
+    fun place(stage: CallStage, input: String, candidates: List<BackEndView>, nowMilliseconds: Long): Boolean {
+        val chosen = context.policies.application(stage, candidates, context.policies.random) ?: return false
+        this.stage = stage
+        backEnd = chosen
+        context.steps.add(RequestStep.Occupy(chosen.name, 1))
+        context.steps.emit(
+            EntryEffect.CallApplication(
+                requestId = plan.start.requestId,
+                backEnd = chosen,
+                call = ApplicationCall(plan.applicationRequestId, stage.call, input),
+                attempt = progress.nextAttempt(),
+                timeoutMilliseconds = plan.start.deadlineMilliseconds - nowMilliseconds,
+            ),
+        )
+        return true
+    }
+
+    fun ended(event: RequestEvent.CallEnded, nowMilliseconds: Long): StageAdvance {
+        val used = backEnd
+        if (used == null || event.attempt != progress.attempt) return StageAdvance.GoesOn
+        val repeatable = stage?.repeatable == true
+        release()
+        progress.progressMilliseconds = nowMilliseconds
+        return when (val outcome = event.outcome) {
+            is CallOutcome.Answered -> StageAdvance.Done(outcome.output)
+            CallOutcome.NotRun -> {
+                progress.refusedBeforeRunning(firstOfAttempt = true)
+                placeAgain(used)
+            }
+            CallOutcome.Unknown -> if (repeatable) placeAgain(used) else StageAdvance.InDoubt
+        }
+    }
+
+    /** Gives back the place at the plain service; a call under way is not taken back. */
+    fun release() {
+        backEnd?.let { context.steps.add(RequestStep.Occupy(it.name, -1)) }
+        backEnd = null
+    }
+
+    private fun placeAgain(used: BackEndView): StageAdvance {
+        context.steps.add(RequestStep.Suspect(used.name))
+        context.steps.add(RequestStep.FindCandidates)
+        return StageAdvance.GoesOn
+    }
+}
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/CallerReport.kt
@@ -0,0 +1,42 @@
+package cassiaspindle.entry.request
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.OrderRecord
+import cassiaspindle.schema.OrderState
+import cassiaspindle.schema.ServiceAnswer
+import cassiaspindle.schema.TokenEvent
+
+/** Tells the caller of a request: tokens, then one answer or one failure, and nothing after it. */
+internal class CallerReport(private val requestId: String, private val steps: StepCollector) {
+    /** Whether the caller has its last word, or has gone. */
+    var isOver = false
+        private set
+
+    fun token(event: TokenEvent) {
+        if (!isOver) steps.emit(EntryEffect.GiveToken(requestId, event))
+    }
+
+    fun answer(tokens: List<Long>, output: String) =
+        last(EntryEffect.GiveAnswer(requestId, ServiceAnswer(requestId, tokens.size, tokens, output)))
+
+    fun failure(code: ResultCode) = last(EntryEffect.GiveFailure(requestId, Failure(code)))
+
+    /** Tells what the ledger holds of an order. */
+    fun record(record: OrderRecord, tokens: List<Long>) = when (record.state) {
+        OrderState.DONE -> answer(tokens, record.output.orEmpty())
+        OrderState.NOT_RUN -> failure(record.code?.let(ResultCode::ofNumber) ?: ResultCode.ORDER_NOT_RUN)
+        OrderState.IN_PROGRESS -> failure(ResultCode.ORDER_IN_PROGRESS)
+        OrderState.IN_DOUBT -> failure(ResultCode.ORDER_IN_DOUBT)
+    }
+
+    /** The caller went away. */
+    fun gone() {
+        isOver = true
+    }
+
+    private fun last(effect: EntryEffect) {
+        if (!isOver) steps.emit(effect)
+        isOver = true
+    }
+}
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/OrderMachine.kt
@@ -0,0 +1,102 @@
+package cassiaspindle.entry.request
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.OrderState
+
+/** Where an order stands between its caller, the pipeline and the ledger. */
+internal enum class OrderPhase { AWAITING_INTENT, RUNNING, AWAITING_STATUS, AWAITING_OUTCOME, FINISHED }
+
+/**
+ * The phases of an order around the run of its pipeline.
+ *
+ * The pipeline starts only once the ledger holds the intent of this very request, and the caller gets an outcome only
+ * once the ledger holds it.
+ */
+internal class OrderMachine(
+    plan: RequestPlan,
+    private val context: RequestContext,
+    private val pipeline: PipelineRun,
+    private val caller: CallerReport,
+) {
+    private val order = OrderRun(plan, context)
+
+    var phase = OrderPhase.AWAITING_INTENT
+        private set
+
+    /** Takes an event in any phase but [OrderPhase.RUNNING], which belongs to the pipeline. */
+    fun handle(event: RequestEvent) {
+        when (event) {
+            RequestEvent.Begun -> order.submitIntent()
+            is RequestEvent.CommandDecided -> commandDecided(event.outcome)
+            is RequestEvent.Candidates -> if (phase == OrderPhase.AWAITING_STATUS) readStatus(event)
+            is RequestEvent.CallEnded -> if (phase == OrderPhase.AWAITING_STATUS) statusRead(event.outcome)
+            else -> Unit
+        }
+    }
+
+    /** Has the ledger record what became of the order. */
+    fun settle(state: OrderState, output: String? = null, code: ResultCode? = null) {
+        pipeline.release()
+        phase = OrderPhase.AWAITING_OUTCOME
+        order.submitOutcome(state, output, code)
+    }
+
+    /** Takes the loss of the answer to the call: asks the plain services, or leaves the order in doubt. */
+    fun answerLost() {
+        if (order.hasStatusRead) {
+            phase = OrderPhase.AWAITING_STATUS
+            context.steps.add(RequestStep.FindCandidates)
+        } else {
+            settle(OrderState.IN_DOUBT)
+        }
+    }
+
+    private fun readStatus(event: RequestEvent.Candidates) {
+        if (!order.askStatus(event.backEnds, pipeline.attempt)) settle(OrderState.IN_DOUBT)
+    }
+
+    private fun statusRead(outcome: CallOutcome) {
+        if (outcome is CallOutcome.Answered) {
+            settle(OrderState.DONE, outcome.output)
+        } else {
+            context.steps.add(RequestStep.FindCandidates)
+        }
+    }
+
+    private fun commandDecided(outcome: CommandOutcome) {
+        when (phase) {
+            OrderPhase.AWAITING_INTENT -> intentDecided(order.intentAnswer(outcome))
+            OrderPhase.AWAITING_OUTCOME -> {
+                outcome.order?.let { caller.record(it, pipeline.tokens) } ?: caller.failure(ResultCode.ORDER_IN_DOUBT)
+                phase = OrderPhase.FINISHED
+            }
+            else -> Unit
+        }
+    }
+
+    private fun intentDecided(answer: IntentAnswer) {
+        when (answer) {
+            IntentAnswer.MayRun -> run()
+            IntentAnswer.AskStatus -> answerLost()
+            is IntentAnswer.Known -> {
+                caller.record(answer.record, emptyList())
+                phase = OrderPhase.FINISHED
+            }
+            is IntentAnswer.Refused -> {
+                caller.failure(answer.code)
+                phase = OrderPhase.FINISHED
+            }
+        }
+    }
+
+    /** An order whose caller was told "not run" while the intent was under way must not run. */
+    private fun run() {
+        if (caller.isOver) {
+            settle(OrderState.NOT_RUN, code = ResultCode.CONTROL_UNREACHABLE)
+        } else {
+            phase = OrderPhase.RUNNING
+            context.steps.add(RequestStep.FindCandidates)
+        }
+    }
+}
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/OrderRun.kt
@@ -0,0 +1,97 @@
+package cassiaspindle.entry.request
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.entry.membership.BackEndView
+import cassiaspindle.entry.routing.answers
+import cassiaspindle.schema.CallStage
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.ControlCommandKind
+import cassiaspindle.schema.OrderIntent
+import cassiaspindle.schema.OrderName
+import cassiaspindle.schema.OrderRecord
+import cassiaspindle.schema.OrderResolution
+import cassiaspindle.schema.OrderState
+
+/** What the ledger's answer to an intent means. */
+internal sealed interface IntentAnswer {
+    /** The order may be dispatched, once, by this request. */
+    data object MayRun : IntentAnswer
+
+    /** The order was known before. */
+    data class Known(val record: OrderRecord) : IntentAnswer
+
+    /** The order is in doubt, and plain services can be asked about it. */
+    data object AskStatus : IntentAnswer
+
+    /** The order is refused. */
+    data class Refused(val code: ResultCode) : IntentAnswer
+}
+
+/** The way of one order through the ledger. */
+internal class OrderRun(private val plan: RequestPlan, private val context: RequestContext) {
+    private val name = OrderName(plan.account, plan.start.orderKey?.text.orEmpty())
+    private val askedForStatus = mutableSetOf<String>()
+
+    /** The call that may not be repeated, where the pipeline has one. */
+    private val call: CallStage? get() = plan.stages.last().call?.takeIf { !it.repeatable }
+
+    /** Whether plain services can tell what became of the order. */
+    val hasStatusRead: Boolean get() = call?.statusRead == true
+
+    fun submitIntent() = submit(
+        ControlCommand(
+            kind = ControlCommandKind.RECORD_INTENT,
+            intent = OrderIntent(
+                name = name,
+                requestId = plan.start.requestId,
+                service = plan.document.service,
+                bodyDigest = plan.start.bodyDigest,
+                entry = context.identity.name,
+                entryIncarnation = context.identity.incarnation,
+                atMilliseconds = 0,
+            ),
+        ),
+    )
+
+    fun submitOutcome(state: OrderState, output: String? = null, code: ResultCode? = null) = submit(
+        ControlCommand(
+            kind = ControlCommandKind.RECORD_OUTCOME,
+            resolution = OrderResolution(
+                name = name,
+                state = state,
+                entry = context.identity.name,
+                entryIncarnation = context.identity.incarnation,
+                output = output,
+                code = code?.number,
+            ),
+        ),
+    )
+
+    fun intentAnswer(outcome: CommandOutcome): IntentAnswer {
+        val code = ResultCode.ofNumber(outcome.code)
+        val record = outcome.order
+        return when {
+            code == ResultCode.OK -> IntentAnswer.MayRun
+            code != ResultCode.ORDER_KNOWN || record == null ->
+                IntentAnswer.Refused(code ?: ResultCode.CONTROL_UNREACHABLE)
+            record.state == OrderState.IN_DOUBT && hasStatusRead -> IntentAnswer.AskStatus
+            else -> IntentAnswer.Known(record)
+        }
+    }
+
+    /** Asks the next plain service what became of the order; false where all were asked. */
+    fun askStatus(candidates: List<BackEndView>, attempt: Int): Boolean {
+        val next = candidates.firstOrNull { candidate ->
+            candidate.name !in askedForStatus && call?.let(candidate::answers) == true
+        } ?: return false
+        askedForStatus += next.name
+        context.steps.emit(
+            EntryEffect.ReadOrderStatus(next, plan.start.requestId, plan.applicationRequestId, attempt),
+        )
+        return true
+    }
+
+    private fun submit(command: ControlCommand) =
+        context.steps.emit(EntryEffect.Submit(plan.start.requestId, command))
+}
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestAlarm.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestAlarm.kt
@@ -1,14 +1,15 @@
 package cassiaspindle.entry.request
 
 /** Keeps one timer of a request armed, and moves it only towards the present. */
-internal class RequestAlarm(private val start: RequestStart, private val steps: MutableList<RequestStep>) {
+internal class RequestAlarm(private val requestId: String, private val steps: StepCollector) {
     private var armedMilliseconds: Long? = null
 
     fun arm(atMilliseconds: Long) {
         val armed = armedMilliseconds
-        if (armed != null && armed <= atMilliseconds) return
+        val isSooner = armed == null || atMilliseconds < armed
+        if (!isSooner || atMilliseconds == Long.MAX_VALUE) return
         armedMilliseconds = atMilliseconds
-        steps += RequestStep.Outward(EntryEffect.WakeAt(start.requestId, atMilliseconds))
+        steps.emit(EntryEffect.WakeAt(requestId, atMilliseconds))
     }
 
     fun fired() {
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestContext.kt
@@ -0,0 +1,8 @@
+package cassiaspindle.entry.request
+
+/** What the parts of one request share. */
+internal data class RequestContext(
+    val identity: EntryIdentity,
+    val policies: Policies,
+    val steps: StepCollector = StepCollector(),
+)
--- /dev/null
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestEvent.kt
@@ -0,0 +1,32 @@
+package cassiaspindle.entry.request
+
+import cassiaspindle.entry.membership.BackEndView
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.StepResult
+
+/** What can happen to a request. */
+internal sealed interface RequestEvent {
+    /** It was admitted. */
+    data object Begun : RequestEvent
+
+    /** The backend servers of the moment, for a stage or status read that waits for one. */
+    data class Candidates(val backEnds: List<BackEndView>) : RequestEvent
+
+    /** A runner answered a step. */
+    data class StepAnswered(val result: StepResult) : RequestEvent
+
+    /** The stream to a runner ended or fell silent. */
+    data class BackEndLost(val backEnd: String) : RequestEvent
+
+    /** A call to a plain service, or a status read, ended. */
+    data class CallEnded(val attempt: Int, val outcome: CallOutcome) : RequestEvent
+
+    /** The control replicas decided a command. */
+    data class CommandDecided(val outcome: CommandOutcome) : RequestEvent
+
+    /** The timer that was asked for went off. */
+    data object Woken : RequestEvent
+
+    /** The caller went away. */
+    data object CallerGone : RequestEvent
+}
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestStart.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestStart.kt
@@ -44,6 +44,3 @@
     /** Silence after which a step is given up. */
     val progressMilliseconds: Long,
 )
-
-/** Whether [document] holds a call that may not be repeated, so that it takes orders only. */
-internal fun ServiceDocument.takesOrders(): Boolean = stages.any { it.call?.repeatable == false }
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestStep.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestStep.kt
@@ -11,6 +11,20 @@
     /** Give a backend server no new work until it announces itself again. */
     data class Suspect(val backEnd: String) : RequestStep
 
-    /** Call [RequestMachine.place] with the backend servers of the moment. */
-    data object Place : RequestStep
+    /** Send [RequestEvent.Candidates]. */
+    data object FindCandidates : RequestStep
+}
+
+/** Gathers the steps of one event. */
+internal class StepCollector {
+    private val steps = mutableListOf<RequestStep>()
+
+    fun add(step: RequestStep) {
+        steps += step
+    }
+
+    fun emit(effect: EntryEffect) = add(RequestStep.Outward(effect))
+
+    /** The steps since the last call. */
+    fun drain(): List<RequestStep> = steps.toList().also { steps.clear() }
 }
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/routing/ApplicationChoice.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/routing/ApplicationChoice.kt
@@ -21,7 +21,7 @@
 
 /** Whether the plain service offers the call of [stage]; a call counts as idempotent only where both sides say so. */
 internal fun BackEndView.answers(stage: CallStage): Boolean {
-    val service = announcement.plainService ?: return false
-    val call = service.calls.firstOrNull { it.name == stage.call } ?: return false
-    return service.application == stage.application && (call.repeatable || !stage.repeatable)
+    val service = announcement.plainService
+    val call = service?.calls?.firstOrNull { it.name == stage.call }
+    return service?.application == stage.application && call != null && (call.repeatable || !stage.repeatable)
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/CommitApplier.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/CommitApplier.kt
@@ -4,9 +4,9 @@
 import cassiaspindle.schema.CommandOutcome
 import cassiaspindle.schema.ControlCommand
 import cassiaspindle.schema.ControlCommandKind
+import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.GroupSnapshot
 import cassiaspindle.schema.LogEntry
-import cassiaspindle.schema.GroupMembership
 
 /** Moves the commit index, applies what it passes and replaces old entries by a snapshot. */
 internal class CommitApplier(private val state: ReplicaState) {
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/OutputCollector.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/OutputCollector.kt
@@ -4,9 +4,9 @@
 import cassiaspindle.schema.LogEntry
 import cassiaspindle.schema.LogRecord
 import cassiaspindle.schema.LogRecordKind
+import cassiaspindle.schema.Replica
 import cassiaspindle.schema.ReplicationKind
 import cassiaspindle.schema.ReplicationMessage
-import cassiaspindle.schema.Replica
 
 /** Gathers the effects of one call and keeps the state and its records in step. */
 internal class OutputCollector(private val state: ReplicaState) {
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
@@ -4,6 +4,8 @@
 import cassiaspindle.schema.ControlCommandKind
 import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.Replica
+import cassiaspindle.schema.ReplicationKind
+import cassiaspindle.schema.ReplicationMessage
 
 /**
  * Brings back a control VM whose data folder was lost.
@@ -12,28 +14,46 @@
  * the new one becomes a voter: one committed change after the other.
  */
 internal class Replacement(private val state: ReplicaState, private val leadership: Leadership) {
-    /** The membership with [joining] as a learner, or null where nothing changes. */
-    fun membershipAfterJoin(joining: Replica): GroupMembership? {
+    /** One change at a time, and none before this term has committed an entry. */
+    val mayChange: Boolean
+        get() = state.role == Role.LEADER &&
+            state.log.membershipIndex <= state.commitIndex &&
+            leadership.hasCommittedInTerm()
+
+    /** Asks the replicas named [names] to take this one in, where it belongs to no membership it knows of. */
+    fun joinRequests(names: List<String>, output: OutputCollector): List<ReplicationMessage> {
+        val known = state.isVoter || state.self in state.membership.learners
+        if (known || state.leader != null) return emptyList()
+        return names.filter { it != state.self.name }
+            .map { output.message(ReplicationKind.JOIN, Replica(it, identity = "")) }
+    }
+
+    /** Takes [joining] in as a learner. */
+    fun takeIn(joining: Replica, nowMilliseconds: Long, output: OutputCollector) {
         val membership = state.membership
-        if (joining in membership.voters || joining in membership.learners) return null
+        if (!mayChange || joining in membership.voters || joining in membership.learners) return
         val learners = membership.learners.filter { it.name != joining.name } + joining
-        return membership.copy(learners = learners)
+        change(membership.copy(learners = learners), nowMilliseconds, output)
     }
 
-    /** The next membership on the way of a learner to a vote, or null where no learner is ready. */
-    fun nextMembership(): GroupMembership? {
-        val ready = state.membership.learners.firstOrNull(leadership::isCaughtUp) ?: return null
-        val old = state.membership.voters.firstOrNull { it.name == ready.name }
-        if (old == null) return promoted(ready)
-        return state.membership.copy(voters = state.membership.voters - old)
+    /** Takes the next step on the way of a learner to a vote. */
+    fun advance(nowMilliseconds: Long, output: OutputCollector) {
+        val ready = state.membership.learners.firstOrNull(leadership.progress::isCaughtUp)
+        if (mayChange && ready != null) change(withoutOldOrWith(ready), nowMilliseconds, output)
     }
 
-    /** The command that sets [membership]. */
-    fun command(membership: GroupMembership) =
-        ControlCommand(ControlCommandKind.CHANGE_MEMBERSHIP, membership = membership)
+    private fun withoutOldOrWith(ready: Replica): GroupMembership {
+        val voters = state.membership.voters
+        val old = voters.firstOrNull { it.name == ready.name }
+        return if (old == null) {
+            GroupMembership(voters + ready, state.membership.learners - ready)
+        } else {
+            state.membership.copy(voters = voters - old)
+        }
+    }
 
-    private fun promoted(learner: Replica) = GroupMembership(
-        voters = state.membership.voters + learner,
-        learners = state.membership.learners - learner,
-    )
+    private fun change(membership: GroupMembership, nowMilliseconds: Long, output: OutputCollector) {
+        val command = ControlCommand(ControlCommandKind.CHANGE_MEMBERSHIP, membership = membership)
+        leadership.append(command, nowMilliseconds, output)
+    }
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
@@ -45,7 +45,7 @@
         when {
             state.role == Role.LEADER -> {
                 leadership.tick(nowMilliseconds, output)
-                advanceReplacement(nowMilliseconds, output)
+                replacement.advance(nowMilliseconds, output)
             }
             nowMilliseconds < state.electionDeadlineMilliseconds -> Unit
             state.isVoter -> election.startPreVote(nowMilliseconds, output)
@@ -58,12 +58,16 @@
 
     /** Proposes [command]; only a leader accepts it. */
     fun propose(command: ControlCommand, nowMilliseconds: Long): Proposal {
-        if (!leads) return Proposal.Refused(state.leader)
         val changes = command.kind == ControlCommandKind.CHANGE_MEMBERSHIP
-        if (changes && !mayChangeMembership()) return Proposal.ChangePending
-        val output = OutputCollector(state)
-        val entry = leadership.append(command, nowMilliseconds, output)
-        return Proposal.Accepted(entry.index, entry.term, output.collect())
+        return when {
+            !leads -> Proposal.Refused(state.leader)
+            changes && !replacement.mayChange -> Proposal.ChangePending
+            else -> {
+                val output = OutputCollector(state)
+                val entry = leadership.append(command, nowMilliseconds, output)
+                Proposal.Accepted(entry.index, entry.term, output.collect())
+            }
+        }
     }
 
     /** Reports that the work that carried [mark] is synced. */
@@ -80,13 +84,8 @@
         leadership.holdsLease(nowMilliseconds) && leadership.hasCommittedInTerm()
 
     /** Asks the replicas named [names] to take this one in, where it belongs to no membership it knows of. */
-    fun joinRequests(names: List<String>): List<ReplicationMessage> {
-        val known = state.isVoter || state.self in state.membership.learners
-        if (known || state.leader != null) return emptyList()
-        val output = OutputCollector(state)
-        return names.filter { it != state.self.name }
-            .map { output.message(ReplicationKind.JOIN, Replica(it, identity = "")) }
-    }
+    fun joinRequests(names: List<String>): List<ReplicationMessage> =
+        replacement.joinRequests(names, OutputCollector(state))
 
     /** All that must be in the data folder, for a rewrite of the log file. */
     fun image() = GroupImage(state.hardState, state.log.snapshot, state.log.allEntries())
@@ -103,45 +102,29 @@
     )
 
     private fun dispatch(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
+        if (message.kind in REPLIES && message.term > state.term) leadership.followTerm(message.term, output)
         when (message.kind) {
             ReplicationKind.APPEND -> following.append(message, nowMilliseconds, output)
             ReplicationKind.SNAPSHOT -> following.snapshot(message, nowMilliseconds, output)
-            ReplicationKind.APPEND_REPLY -> {
-                stepDownFor(message, output)
-                leadership.answered(message, nowMilliseconds, output)
-            }
-            ReplicationKind.JOIN -> takeIn(message.from, nowMilliseconds, output)
-            ReplicationKind.VOTE_REPLY, ReplicationKind.PRE_VOTE_REPLY -> {
-                stepDownFor(message, output)
-                election.answer(message, nowMilliseconds, output)
-            }
-            ReplicationKind.PRE_VOTE, ReplicationKind.VOTE -> election.answer(message, nowMilliseconds, output)
+            ReplicationKind.APPEND_REPLY -> leadership.answered(message, nowMilliseconds, output)
+            ReplicationKind.JOIN -> replacement.takeIn(message.from, nowMilliseconds, output)
+            ReplicationKind.PRE_VOTE, ReplicationKind.PRE_VOTE_REPLY,
+            ReplicationKind.VOTE, ReplicationKind.VOTE_REPLY,
+            -> election.answer(message, nowMilliseconds, output)
         }
     }
 
-    private fun stepDownFor(reply: ReplicationMessage, output: OutputCollector) {
-        if (reply.term > state.term) leadership.followTerm(reply.term, output)
-    }
-
-    private fun takeIn(joining: Replica, nowMilliseconds: Long, output: OutputCollector) {
-        if (!leads || !mayChangeMembership()) return
-        val membership = replacement.membershipAfterJoin(joining) ?: return
-        leadership.append(replacement.command(membership), nowMilliseconds, output)
-    }
-
-    private fun advanceReplacement(nowMilliseconds: Long, output: OutputCollector) {
-        if (!leads || !mayChangeMembership()) return
-        val membership = replacement.nextMembership() ?: return
-        leadership.append(replacement.command(membership), nowMilliseconds, output)
-    }
-
-    /** One change at a time, and none before this term has committed an entry. */
-    private fun mayChangeMembership(): Boolean =
-        state.log.membershipIndex <= state.commitIndex && leadership.hasCommittedInTerm()
-
     private fun collect(decide: (OutputCollector) -> Unit): ReplicationOutput {
         val output = OutputCollector(state)
         decide(output)
         return output.collect()
     }
+
+    private companion object {
+        val REPLIES = setOf(
+            ReplicationKind.APPEND_REPLY,
+            ReplicationKind.VOTE_REPLY,
+            ReplicationKind.PRE_VOTE_REPLY,
+        )
+    }
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
@@ -1,9 +1,9 @@
 package cassiaspindle.replication
 
 import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.GroupSnapshot
 import cassiaspindle.schema.GroupState
-import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.HardState
 import cassiaspindle.schema.LogEntry
 import cassiaspindle.schema.Replica
--- /dev/null
+++ b/history/src/main/kotlin/cassiaspindle/history/SimulatedReplica.kt
@@ -0,0 +1,85 @@
+package cassiaspindle.history
+
+import cassiaspindle.control.group.ControlEffect
+import cassiaspindle.control.group.ControlNode
+import cassiaspindle.control.group.ControlNodeSettings
+import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.Replica
+import kotlin.random.Random
+
+private const val ONE_IN_PER_MILLE = 1_000L
+
+/** Settings that all replicas of a history share; times in milliseconds. */
+internal object HistorySettings {
+    const val ELECTION_TIMEOUT_MILLISECONDS = 60L
+    const val ENTRY_LEASE_MILLISECONDS = 100L
+    const val RETENTION_MILLISECONDS = 1_000_000L
+    const val SNAPSHOT_EVERY_ENTRIES = 12
+    const val GROUPS = 2
+}
+
+/** One control replica with its disk and a clock of its own rate. */
+internal class SimulatedReplica(
+    val name: String,
+    private val names: List<String>,
+    private val random: Random,
+    private val faults: HistoryFaults,
+) {
+    private val offsetMilliseconds = random.nextLong(OFFSET_MILLISECONDS)
+    private val ratePerMille = ONE_IN_PER_MILLE + random.nextInt(-faults.driftPerMille, faults.driftPerMille + 1)
+    private var generation = 0
+    private var disk = SimulatedDisk(GroupMembership(names.map { Replica(it, "0") }), faults)
+
+    /** The running replica, or null while it is down. */
+    var node: ControlNode? = null
+        private set
+
+    /** The identity of its data folder. */
+    val identity: Replica get() = Replica(name, generation.toString())
+
+    /** Its own time at [trueMilliseconds]. */
+    fun now(trueMilliseconds: Long): Long = offsetMilliseconds + trueMilliseconds * ratePerMille / ONE_IN_PER_MILLE
+
+    fun start(trueMilliseconds: Long) {
+        val settings = ControlNodeSettings(
+            self = identity,
+            names = names,
+            electionTimeoutMilliseconds = HistorySettings.ELECTION_TIMEOUT_MILLISECONDS,
+            entryLeaseMilliseconds = HistorySettings.ENTRY_LEASE_MILLISECONDS,
+            orderRetentionMilliseconds = HistorySettings.RETENTION_MILLISECONDS,
+            snapshotEveryEntries = HistorySettings.SNAPSHOT_EVERY_ENTRIES,
+        )
+        val images = disk.images(HistorySettings.GROUPS)
+        val started = faults.startTime(now(trueMilliseconds))
+        node = ControlNode(settings, images, { random.nextInt(it) }, started, disk::add)
+    }
+
+    fun crash() {
+        node = null
+        disk.crash()
+    }
+
+    /** Replaces the disk by an empty one; the replica comes back under a new identity, without a vote. */
+    fun replaceDisk() {
+        crash()
+        val beginning = if (faults.keepsIdentity()) {
+            GroupMembership(names.map { Replica(it, "0") })
+        } else {
+            generation++
+            GroupMembership(emptyList())
+        }
+        disk = SimulatedDisk(beginning, faults)
+    }
+
+    /** Syncs at most [count] pieces of work and gives what follows from them. */
+    fun sync(count: Int, trueMilliseconds: Long): List<ControlEffect> {
+        val running = node ?: return emptyList()
+        return disk.sync(count).flatMap { (group, work) ->
+            work.messages.map(ControlEffect::Send) + running.persisted(group, work.mark, now(trueMilliseconds))
+        }
+    }
+
+    private companion object {
+        const val OFFSET_MILLISECONDS = 100_000L
+    }
+}
--- /dev/null
+++ b/history/src/test/kotlin/cassiaspindle/history/ControlHistoryTest.kt
@@ -0,0 +1,20 @@
+package cassiaspindle.history
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
+
+class ControlHistoryTest : AnnotationSpec() {
+    @Test
+    fun `no history under faults breaks a promise`() {
+        val results = (1L..HISTORIES).map { ControlHistory(it).run() }
+        println("histories=$HISTORIES seeds=1..$HISTORIES")
+        results.filter { it.violations.isNotEmpty() }.shouldBeEmpty()
+        results.sumOf { it.replacedDisks } shouldBeGreaterThan HISTORIES.toInt() / 4
+        results.sumOf { it.dispatchedOrders } shouldBeGreaterThan HISTORIES.toInt()
+    }
+
+    private companion object {
+        const val HISTORIES = 2_000L
+    }
+}
--- a/standin/src/main/kotlin/cassiaspindle/standin/runner/KvStore.kt
+++ b/standin/src/main/kotlin/cassiaspindle/standin/runner/KvStore.kt
@@ -9,6 +9,7 @@
 import cassiaspindle.schema.StepRequest
 import cassiaspindle.schema.StepResult
 import cassiaspindle.standin.model.FleetRecorder
+import cassiaspindle.standin.model.MODEL_LAYERS
 import cassiaspindle.standin.model.StandInModel
 
 private const val SHARDS = 8
@@ -22,8 +23,11 @@
 
     fun run(step: StepRequest): StepResult {
         val refusal = refusalOf(step)
-        if (refusal != null) return result(step, refusal)
-        val input = shards.withKey(step.request) { accept(it, step) } ?: return result(step, outOfOrder(step))
+        val input = if (refusal == null) shards.withKey(step.request) { accept(it, step) } else null
+        return if (input == null) result(step, refusal ?: StepOutcome.OUT_OF_ORDER) else runLayers(step, input)
+    }
+
+    private fun runLayers(step: StepRequest, input: Activation): StepResult {
         recorder.ranLayers(step)
         val output = input.copy(value = StandInModel.runLayers(input.value, step.firstLayer, step.endLayer))
         val done = result(step, StepOutcome.DONE)
@@ -64,7 +68,7 @@
         return if (holdsModel && holdsLayers && step.firstLayer < step.endLayer) null else StepOutcome.WRONG_LAYERS
     }
 
-    /** Moves the attempt on by [step] and gives what its first layer takes in, or null where the step is out of order. */
+    /** Moves the attempt on by [step] and gives what its first layer takes in; null where it is out of order. */
     private fun accept(held: MutableMap<AttemptName, HeldAttempt>, step: StepRequest): Activation? {
         val name = AttemptName(step.request, step.attempt)
         val known = held[name]
@@ -94,12 +98,6 @@
         )
     }
 
-    private fun outOfOrder(step: StepRequest): StepOutcome {
-        val name = AttemptName(step.request, step.attempt)
-        val known = shards.withKey(step.request) { name in it }
-        return if (known) StepOutcome.OUT_OF_ORDER else StepOutcome.UNKNOWN_ATTEMPT
-    }
-
     private fun result(step: StepRequest, outcome: StepOutcome) = StepResult(
         request = step.request,
         attempt = step.attempt,
@@ -107,28 +105,4 @@
         endLayer = step.endLayer,
         outcome = outcome,
     )
-
-    /** What passes from runner to runner: the value and, for the last one, the length of the text. */
-    private data class Activation(val value: Long, val textLength: Int) {
-        override fun toString(): String = "$value/$textLength"
-
-        companion object {
-            fun parse(text: String?): Activation? {
-                val value = text?.substringBefore('/')?.toLongOrNull()
-                val textLength = text?.substringAfter('/')?.toIntOrNull()
-                return if (value == null || textLength == null) null else Activation(value, textLength)
-            }
-        }
-    }
-
-    private data class HeldAttempt(
-        val firstLayer: Int,
-        val endLayer: Int,
-        val nextPosition: Int,
-        val state: Long,
-        val textLength: Int,
-    )
 }
-
-/** Number of layers of the models that stand-ins know. */
-val MODEL_LAYERS: Map<String, Int> = mapOf("seam-llm" to 32, "redaction-llm" to 48)
--- a/standin/src/main/kotlin/cassiaspindle/standin/runner/StandInRunner.kt
+++ b/standin/src/main/kotlin/cassiaspindle/standin/runner/StandInRunner.kt
@@ -139,7 +139,7 @@
         val replies = Channel<EngineReply>(Channel.UNLIMITED)
         launch { for (reply in replies) if (!frozen.get()) send(Frame.Text(encodeJson(reply))) }
         for (frame in incoming) {
-            val text = (frame as? Frame.Text)?.readText() ?: break
+            val text = (frame as? Frame.Text)?.readText().orEmpty()
             val message = decodeJson<EngineFrame>(text).get() ?: break
             message.heartbeat?.let { replies.send(EngineReply(heartbeat = it)) }
             message.cancelled.forEach(store::cancel)
--- a/storage/src/main/kotlin/cassiaspindle/storage/RecordFormat.kt
+++ b/storage/src/main/kotlin/cassiaspindle/storage/RecordFormat.kt
@@ -34,11 +34,9 @@
         val length = header.getInt()
         val checksum = header.getInt()
         val durableBytes = header.getLong()
-        val whole = length in 1..MAXIMUM_CONTENT_BYTES && length <= file.size - offset - HEADER_BYTES
-        if (!whole || checksum != checksum(file, offset, HEADER_BYTES + length)) return null
-        val start = offset + HEADER_BYTES
-        val record = decodeCbor<LogRecord>(file.copyOfRange(start, start + length)).get()
-        return record?.let { StoredRecord(it, durableBytes, offset + HEADER_BYTES + length) }
+        val isWhole = length in 1..MAXIMUM_CONTENT_BYTES && length <= file.size - offset - HEADER_BYTES
+        val isSound = isWhole && checksum == checksum(file, offset, HEADER_BYTES + length)
+        return if (isSound) StoredRecord.read(file, offset + HEADER_BYTES, length, durableBytes) else null
     }
 
     private fun checksum(bytes: ByteArray, offset: Int, length: Int): Int {
@@ -49,4 +47,10 @@
 }
 
 /** A sound record with the place where the next one begins. */
-internal data class StoredRecord(val record: LogRecord, val durableBytes: Long, val endOffset: Int)
+internal data class StoredRecord(val record: LogRecord, val durableBytes: Long, val endOffset: Int) {
+    companion object {
+        fun read(file: ByteArray, start: Int, length: Int, durableBytes: Long): StoredRecord? =
+            decodeCbor<LogRecord>(file.copyOfRange(start, start + length)).get()
+                ?.let { StoredRecord(it, durableBytes, start + length) }
+    }
+}
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/backend/BackEndRoutes.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/backend/BackEndRoutes.kt
@@ -8,7 +8,6 @@
 import cassiaspindle.schema.CacheEvents
 import cassiaspindle.schema.LeaveNotice
 import cassiaspindle.schema.LoadReport
-import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.http.server.answer
 import cassiaspindle.transport.http.server.readMessage
 import cassiaspindle.transport.http.server.refuse
@@ -23,19 +22,6 @@
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.post
 
-/** What backend servers reach, as function types. */
-data class BackEndFrontEnd(
-    val key: String,
-    val maximumMessageBytes: Int,
-    val metrics: Metrics,
-    val announce: (BackEndAnnouncement) -> AnnouncementReply,
-    val report: (LoadReport) -> Acknowledgement,
-    val cacheEvents: (CacheEvents) -> Acknowledgement,
-    val leave: (LeaveNotice) -> Acknowledgement,
-) {
-    override fun toString(): String = "BackEndFrontEnd"
-}
-
 /** The routes for backend servers. */
 fun Route.backEndRoutes(frontEnd: BackEndFrontEnd) {
     post("/v1/backends/announcements") {
--- /dev/null
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerAnswers.kt
@@ -0,0 +1,74 @@
+package cassiaspindle.transport.http.caller
+
+import cassiaspindle.codec.encodeJson
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.transport.http.server.answer
+import cassiaspindle.transport.http.server.answerError
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.utils.io.writeStringUtf8
+
+/** Answers with the events of [session]; tells it where the caller goes away before the end. */
+internal suspend fun ApplicationCall.follow(frontEnd: CallerFrontEnd, session: CallerSession) {
+    val streamed = request.header(HttpHeaders.Accept).orEmpty().contains(ContentType.Text.EventStream.toString())
+    var ended = false
+    try {
+        if (streamed) stream(frontEnd, session) else answerWhole(frontEnd, session)
+        ended = true
+    } finally {
+        if (!ended) session.abandon()
+    }
+}
+
+private suspend fun ApplicationCall.answerWhole(frontEnd: CallerFrontEnd, session: CallerSession) {
+    var event = session.events.receive()
+    while (event is CallerEvent.Token) {
+        event = session.events.receive()
+    }
+    when (event) {
+        is CallerEvent.Answer -> {
+            frontEnd.metrics.count(ResultCode.OK)
+            answer(event.answer)
+        }
+        is CallerEvent.Failed -> refuseRequest(frontEnd, event.failure)
+        is CallerEvent.Token -> Unit
+    }
+}
+
+/** A failure before the first token is an ordinary error answer; one after it is an event of the stream. */
+private suspend fun ApplicationCall.stream(frontEnd: CallerFrontEnd, session: CallerSession) {
+    var event = session.events.receive()
+    if (event is CallerEvent.Failed) {
+        refuseRequest(frontEnd, event.failure)
+        return
+    }
+    respondBytesWriter(ContentType.Text.EventStream) {
+        while (true) {
+            writeStringUtf8(eventText(frontEnd, event))
+            flush()
+            if (event !is CallerEvent.Token) break
+            event = session.events.receive()
+        }
+    }
+}
+
+private fun eventText(frontEnd: CallerFrontEnd, event: CallerEvent): String = when (event) {
+    is CallerEvent.Token -> "event: token\ndata: ${encodeJson(event.token)}\n\n"
+    is CallerEvent.Answer -> {
+        frontEnd.metrics.count(ResultCode.OK)
+        "event: answer\ndata: ${encodeJson(event.answer)}\n\n"
+    }
+    is CallerEvent.Failed -> {
+        frontEnd.metrics.count(event.failure.code)
+        "event: error\ndata: ${encodeJson(frontEnd.describe(event.failure))}\n\n"
+    }
+}
+
+private suspend fun ApplicationCall.refuseRequest(frontEnd: CallerFrontEnd, failure: Failure) {
+    frontEnd.metrics.count(failure.code)
+    answerError(frontEnd.describe(failure))
+}
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/CallerClient.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/CallerClient.kt
@@ -86,7 +86,11 @@
             header(HttpHeaders.Accept, ContentType.Text.EventStream.toString())
             carry(body)
         }.execute { response ->
-            if (response.status.isSuccess()) readStream(response, onToken) else textOf(response).flatMap { decodeJson(it) }
+            if (response.status.isSuccess()) {
+                readStream(response, onToken)
+            } else {
+                textOf(response).flatMap { decodeJson(it) }
+            }
         }
     }
 
@@ -104,17 +108,20 @@
     ): Result<ServiceAnswer, Failure> {
         val lines = response.bodyAsChannel()
         var event = ""
-        while (true) {
-            val line = lines.readUTF8Line() ?: return Err(Failure(ResultCode.ANSWER_INVALID, "no end mark"))
-            val data = line.removePrefix("data: ")
+        var end: Result<ServiceAnswer, Failure>? = null
+        while (end == null) {
+            val line = lines.readUTF8Line()
+            val data = line?.removePrefix("data: ").orEmpty()
             when {
+                line == null -> end = Err(Failure(ResultCode.ANSWER_INVALID, "no end mark"))
                 line.startsWith("event: ") -> event = line.removePrefix("event: ")
                 !line.startsWith("data: ") -> Unit
                 event == "token" -> decodeJson<TokenEvent>(data).get()?.let(onToken)
-                event == "answer" -> return decodeJson(data)
-                else -> return Err(failureOf(data))
+                event == "answer" -> end = decodeJson(data)
+                else -> end = Err(failureOf(data))
             }
         }
+        return end
     }
 
     private suspend fun textOf(response: HttpResponse): Result<String, Failure> {
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/OperatorClient.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/OperatorClient.kt
@@ -54,9 +54,14 @@
     suspend fun history(service: String): Result<DocumentHistory, Failure> =
         ask(HttpMethod.Get, "documents/$service/history").flatMap { decodeJson(it) }
 
-    /** Orders without an outcome. */
-    suspend fun unsettledOrders(): Result<OrderList, Failure> =
-        ask(HttpMethod.Get, "orders/unsettled").flatMap { decodeJson(it) }
+    /** Orders without an outcome; each replica knows those of the groups that it leads. */
+    suspend fun unsettledOrders(): Result<OrderList, Failure> {
+        val lists = controls.map { control ->
+            askOne(control, HttpMethod.Get, "orders/unsettled", body = null).flatMap { decodeJson<OrderList>(it) }
+        }
+        val orders = lists.mapNotNull { it.get() }.flatMap(OrderList::orders)
+        return if (lists.any { it.isOk }) Ok(OrderList(orders)) else Err(Failure(ResultCode.CONTROL_UNREACHABLE))
+    }
 
     /** Settles an order that is in doubt. */
     suspend fun settle(resolution: OrderResolution): Result<OrderStatus, Failure> =
@@ -67,17 +72,15 @@
         askOne(control, HttpMethod.Get, "status", body = null).flatMap { decodeJson(it) }
 
     private suspend fun ask(method: HttpMethod, path: String, body: String? = null): Result<String, Failure> {
-        var last: Failure? = null
-        repeat(ROUNDS) {
+        var result: Result<String, Failure> = Err(Failure(ResultCode.CONTROL_UNREACHABLE))
+        repeat(ROUNDS) { round ->
+            if (round > 0) delay(ROUND_PAUSE_MILLISECONDS)
             for (control in controls) {
-                val result = askOne(control, method, path, body)
-                val failure = result.getError() ?: return result
-                if (failure.code !in RETRIED) return result
-                last = failure
+                result = askOne(control, method, path, body)
+                if (result.getError()?.code !in RETRIED) return result
             }
-            delay(ROUND_PAUSE_MILLISECONDS)
         }
-        return Err(last ?: Failure(ResultCode.CONTROL_UNREACHABLE))
+        return result
     }
 
     private suspend fun askOne(
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/StepStreams.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/StepStreams.kt
@@ -72,7 +72,8 @@
             try {
                 client.webSocket("ws://${backEnd.announcement.address}/v1/steps") { exchange(stream) }
             } catch (problem: IOException) {
-                Logger.debug { "event=step_stream_failed backEnd=${backEnd.name} reason=${problem.javaClass.simpleName}" }
+                val reason = problem.javaClass.simpleName
+                Logger.debug { "event=step_stream_failed backEnd=${backEnd.name} reason=$reason" }
             } finally {
                 lose(key, stream)
             }
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/operator/ControlRoutes.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/operator/ControlRoutes.kt
@@ -3,16 +3,9 @@
 import cassiaspindle.codec.SettingsReader
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
-import cassiaspindle.schema.ControlStatus
-import cassiaspindle.schema.DocumentApplied
-import cassiaspindle.schema.DocumentHistory
 import cassiaspindle.schema.ErrorAnswer
-import cassiaspindle.schema.OrderList
 import cassiaspindle.schema.OrderResolution
-import cassiaspindle.schema.OrderStatus
 import cassiaspindle.schema.ServiceDocument
-import cassiaspindle.schema.StoredDocument
-import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.http.server.answer
 import cassiaspindle.transport.http.server.answerError
 import cassiaspindle.transport.http.server.errorAnswerOf
@@ -31,21 +24,6 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
 
-/** What operators reach at a control replica, as function types. */
-data class ControlFrontEnd(
-    val key: String,
-    val maximumMessageBytes: Int,
-    val metrics: Metrics,
-    val apply: suspend (ServiceDocument) -> Result<DocumentApplied, ErrorAnswer>,
-    val show: (service: String) -> Result<StoredDocument, ErrorAnswer>,
-    val history: (service: String) -> Result<DocumentHistory, ErrorAnswer>,
-    val status: () -> ControlStatus,
-    val unsettledOrders: () -> Result<OrderList, ErrorAnswer>,
-    val settle: suspend (OrderResolution) -> Result<OrderStatus, ErrorAnswer>,
-) {
-    override fun toString(): String = "ControlFrontEnd"
-}
-
 /** The routes for operators at a control replica. */
 fun Route.controlRoutes(frontEnd: ControlFrontEnd) {
     put("/v1/documents") {
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/Exchange.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/Exchange.kt
@@ -44,12 +44,13 @@
     val announced = request.contentLength() ?: 0
     if (announced > maximumBytes) return Err(Failure(ResultCode.TOO_LARGE))
     val bytes = receiveChannel().readRemaining(maximumBytes + 1L).readByteArray()
-    if (bytes.size > maximumBytes) return Err(Failure(ResultCode.TOO_LARGE))
-    return try {
-        Ok(Charsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString())
-    } catch (_: CharacterCodingException) {
-        Err(Failure(ResultCode.MALFORMED, "the body is not UTF-8"))
-    }
+    return if (bytes.size > maximumBytes) Err(Failure(ResultCode.TOO_LARGE)) else decodeText(bytes)
+}
+
+private fun decodeText(bytes: ByteArray): Result<String, Failure> = try {
+    Ok(Charsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString())
+} catch (_: CharacterCodingException) {
+    Err(Failure(ResultCode.MALFORMED, "the body is not UTF-8"))
 }
 
 /** Reads the body as a [Message]. */
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/FrameChannel.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/FrameChannel.kt
@@ -17,9 +17,11 @@
 /** Reads one frame: its length in 4 bytes, then CBOR; the length is checked before anything is read. */
 internal suspend fun ByteReadChannel.readFrame(maximumBytes: Int): Result<PeerFrame, Failure> {
     val length = readInt()
-    if (length < 1) return Err(Failure(ResultCode.MALFORMED, "a frame of $length bytes"))
-    if (length > maximumBytes) return Err(Failure(ResultCode.TOO_LARGE, "a frame of $length bytes"))
-    return decodeCbor<PeerFrame>(readByteArray(length))
+    return when {
+        length < 1 -> Err(Failure(ResultCode.MALFORMED, "a frame of $length bytes"))
+        length > maximumBytes -> Err(Failure(ResultCode.TOO_LARGE, "a frame of $length bytes"))
+        else -> decodeCbor<PeerFrame>(readByteArray(length))
+    }
 }
 
 /** Writes one frame without flushing. */
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -105,7 +105,9 @@
             handlers: PeerHandlers,
         ): PeerServer {
             val selector = SelectorManager(Dispatchers.IO)
-            val socket = runBlocking { aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true } }
+            val socket = runBlocking {
+                aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
+            }
             val server = PeerServer(selector, socket, settings, handlers)
             scope.launch { server.acceptAll(scope) }
             return server
