--- /dev/null
+++ b/codec/src/test/kotlin/cassiaspindle/codec/SettingsReaderTest.kt
@@ -0,0 +1,51 @@
+package cassiaspindle.codec
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.EntrySettings
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import java.nio.file.Path
+
+class SettingsReaderTest : AnnotationSpec() {
+    private val good = """
+        {"name": "entry-1", "availabilityZone": "howrah", "listenAddress": "10.0.0.1:8080",
+         "controls": [{"name": "control-1", "peerAddress": "10.0.0.2:7000", "operatorAddress": "10.0.0.2:7001"}],
+         "keyFiles": {"system": "a", "operator": "b", "backEnd": "c"}}
+    """.trimIndent()
+
+    @Test
+    fun `good settings are read with their defaults`() {
+        val settings = SettingsReader.checked<EntrySettings>(good, ResultCode.SETTINGS_INVALID).get().shouldNotBeNull()
+        settings.progressMilliseconds shouldBe 1_000
+    }
+
+    @Test
+    fun `each mistake gives the code and the path`() {
+        val mistakes = mapOf(
+            good.replace("\"name\": \"entry-1\"", "\"name\": \"entry-1\", \"nmae\": 1") to "/",
+            good.replace("\"entry-1\"", "7") to "/name",
+            good.replace("\"10.0.0.1:8080\"", "\"nowhere\"") to "/listenAddress",
+            good.replace("\"controls\": [", "\"progressMilliseconds\": 1, \"controls\": [") to "/progressMilliseconds",
+            good.replace("\"10.0.0.2:7000\"", "7000") to "/controls/0/peerAddress",
+            good.dropLast(1) to "/",
+            "" to "/",
+        )
+        for ((text, path) in mistakes) {
+            val failure = SettingsReader.checked<EntrySettings>(text, ResultCode.SETTINGS_INVALID).getError()
+            failure.shouldNotBeNull().code shouldBe ResultCode.SETTINGS_INVALID
+            failure.detail.substringBefore(':') shouldBe path
+            failure.detail.lines().size shouldBe 1
+        }
+    }
+
+    @Test
+    fun `a missing file gives its name and the code`() {
+        val failure = SettingsReader.read<EntrySettings>(Path.of("no-such-file.json")).getError().shouldNotBeNull()
+        failure.code shouldBe ResultCode.SETTINGS_MISSING
+        failure.detail shouldContain "no-such-file.json"
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/cassiaspindle/core/concurrency/ShardedTest.kt
@@ -0,0 +1,26 @@
+package cassiaspindle.core.concurrency
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import kotlin.concurrent.thread
+
+class ShardedTest : AnnotationSpec() {
+    @Test
+    fun `two shard locks are never held together`() {
+        val first = Sharded(2) { 0 }
+        val second = Sharded(2) { 0 }
+        shouldThrow<IllegalStateException> { first.withIndex(0) { second.withIndex(1) { it } } }
+        first.withIndex(0) { it } shouldBe 0
+    }
+
+    @Test
+    fun `changes of several threads to one shard all count`() {
+        val counters = Sharded(4) { intArrayOf(0) }
+        val threads = List(4) {
+            thread { repeat(1_000) { number -> counters.withKey("key-${number % 8}") { it[0]++ } } }
+        }
+        threads.forEach(Thread::join)
+        counters.mapEach { it[0] }.sum() shouldBe 4_000
+    }
+}
--- /dev/null
+++ b/decision/control/src/test/kotlin/cassiaspindle/control/document/DocumentRegistryTest.kt
@@ -0,0 +1,52 @@
+package cassiaspindle.control.document
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.GroupState
+import cassiaspindle.schema.ServiceDocument
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+
+class DocumentRegistryTest : AnnotationSpec() {
+    @Test
+    fun `versions follow each other and a race has one winner`() {
+        val attempts = listOf(
+            Attempt(version = 2, "a", ResultCode.VERSION_CONFLICT),
+            Attempt(version = 1, "a", ResultCode.OK, sequence = 1),
+            Attempt(version = 1, "a", ResultCode.OK, sequence = 1),
+            Attempt(version = 1, "b", ResultCode.VERSION_CONFLICT, winner = "a"),
+            Attempt(version = 2, "b", ResultCode.OK, sequence = 2),
+            Attempt(version = 1, "a", ResultCode.OK, sequence = 1),
+            Attempt(version = 1, "c", ResultCode.VERSION_CONFLICT, winner = "a"),
+            Attempt(version = 4, "d", ResultCode.VERSION_CONFLICT, winner = "b"),
+        )
+        val registry = DocumentRegistry()
+        for (attempt in attempts) {
+            val outcome = registry.apply(document(attempt.version), attempt.digest)
+            outcome.code shouldBe attempt.code.number
+            outcome.document?.sequence shouldBe attempt.sequence
+            if (attempt.winner != null) outcome.digest shouldBe attempt.winner
+        }
+        registry.find("service")?.document?.version shouldBe 2
+    }
+
+    @Test
+    fun `a restored registry answers as before`() {
+        val registry = DocumentRegistry()
+        registry.apply(document(1), "a")
+        val restored = DocumentRegistry()
+        restored.restore(registry.capture(GroupState()))
+        restored.apply(document(1), "a") shouldBe registry.apply(document(1), "a")
+        restored.apply(document(1), "b").code shouldBe ResultCode.VERSION_CONFLICT.number
+        restored.acceptedAfter(0) shouldBe registry.acceptedAfter(0)
+    }
+
+    private fun document(version: Long) = ServiceDocument("service", version, emptyList(), emptyList())
+
+    private data class Attempt(
+        val version: Long,
+        val digest: String,
+        val code: ResultCode,
+        val sequence: Long? = null,
+        val winner: String? = null,
+    )
+}
--- /dev/null
+++ b/decision/entry/src/test/kotlin/cassiaspindle/entry/catalog/ServiceCatalogTest.kt
@@ -0,0 +1,44 @@
+package cassiaspindle.entry.catalog
+
+import cassiaspindle.schema.EntryNews
+import cassiaspindle.schema.ServiceDocument
+import cassiaspindle.schema.StoredDocument
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+
+class ServiceCatalogTest : AnnotationSpec() {
+    @Test
+    fun `documents in any order of arrival never go backwards`() {
+        val catalog = ServiceCatalog()
+        catalog.push(stored(1))
+        catalog.push(stored(3))
+        catalog.find("service")?.version shouldBe 1
+        catalog.push(stored(2))
+        catalog.push(stored(1))
+        catalog.find("service")?.version shouldBe 2
+        catalog.renew(news(sent = 0, stored(3)))
+        catalog.renew(news(sent = 0, stored(2)))
+        catalog.find("service")?.version shouldBe 3
+        catalog.sequence shouldBe 3
+    }
+
+    @Test
+    fun `the lease runs from the time of sending and late news does not shorten it`() {
+        val catalog = ServiceCatalog()
+        catalog.hasLease(0) shouldBe false
+        catalog.renew(news(sent = 100))
+        catalog.renew(news(sent = 50))
+        catalog.hasLease(100 + LEASE - 1) shouldBe true
+        catalog.hasLease(100 + LEASE) shouldBe false
+    }
+
+    private fun stored(version: Long) =
+        StoredDocument(version, "", ServiceDocument("service", version, emptyList(), emptyList()))
+
+    private fun news(sent: Long, vararg documents: StoredDocument) =
+        EntryNews(sent, LEASE, documents.maxOfOrNull { it.sequence } ?: 0, emptyList(), documents.toList())
+
+    private companion object {
+        const val LEASE = 1_000L
+    }
+}
--- /dev/null
+++ b/decision/entry/src/test/kotlin/cassiaspindle/entry/routing/ShortestChainTest.kt
@@ -0,0 +1,81 @@
+package cassiaspindle.entry.routing
+
+import cassiaspindle.entry.membership.BackEndView
+import cassiaspindle.schema.BackEndAnnouncement
+import cassiaspindle.schema.ModelStage
+import cassiaspindle.schema.RunnerDescription
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import kotlin.random.Random
+
+class ShortestChainTest : AnnotationSpec() {
+    @Test
+    fun `every layer is asked once and in order or there is no cover`() {
+        val random = Random(SEED)
+        repeat(3_000) {
+            val runners = List(random.nextInt(7)) { index ->
+                val first = random.nextInt(LAYERS)
+                runner("runner-$index", first, random.nextInt(first + 1, LAYERS + 1), inFlight = random.nextInt(4))
+            }
+            val chain = shortestChain(question(runners, random))
+            val open = runners.filter { it.hasRoom }.map { checkNotNull(it.announcement.runner) }
+            val covered = (0 until LAYERS).all { layer -> open.any { layer in it.firstLayer until it.endLayer } }
+            (chain != null) shouldBe covered
+            chain?.let(::checkCover)
+        }
+    }
+
+    @Test
+    fun `a loaded runner and a far one are avoided`() {
+        val near = runner("near", 0, LAYERS)
+        val far = runner("far", 0, LAYERS, zone = "kalyani")
+        val loaded = runner("loaded", 0, LAYERS, inFlight = 2)
+        chosen(near, far, loaded) shouldBe listOf("near")
+        chosen(far, loaded) shouldBe listOf("far")
+    }
+
+    @Test
+    fun `one fast runner is taken before many hops over slow links`() {
+        val whole = runner("whole", 0, LAYERS)
+        val halves = listOf(runner("first", 0, 6, zone = "kalyani"), runner("second", 6, LAYERS, zone = "kalyani"))
+        chosen(whole, halves[0], halves[1]) shouldBe listOf("whole")
+    }
+
+    @Test
+    fun `a runner with another version is not taken`() {
+        val other = runner("other", 0, LAYERS)
+        val description = checkNotNull(other.announcement.runner).copy(modelVersion = "v2")
+        val updated = other.copy(announcement = other.announcement.copy(runner = description))
+        shortestChain(question(listOf(updated))) shouldBe null
+    }
+
+    private fun checkCover(chain: Chain) {
+        var next = 0
+        chain.hops.forEach { hop ->
+            val held = checkNotNull(hop.backEnd.announcement.runner)
+            hop.firstLayer shouldBe next
+            (hop.firstLayer >= held.firstLayer && hop.endLayer <= held.endLayer) shouldBe true
+            hop.endLayer shouldNotBe hop.firstLayer
+            next = hop.endLayer
+        }
+        next shouldBe LAYERS
+    }
+
+    private fun chosen(vararg runners: BackEndView): List<String> =
+        shortestChain(question(runners.toList())).shouldNotBeNull().hops.map { it.backEnd.name }
+
+    private fun question(runners: List<BackEndView>, random: Random = Random(SEED)) =
+        ChainQuestion(ModelStage("model", "v1", LAYERS), runners, "howrah", { random.nextInt(it) })
+
+    private fun runner(name: String, first: Int, end: Int, zone: String = "howrah", inFlight: Int = 0): BackEndView {
+        val description = RunnerDescription("kind", "model", "v1", first, end, layerMicroseconds = 1_000)
+        return BackEndView(BackEndAnnouncement(name, 1, "$name:1", zone, 3, description), inFlight, reportedLoad = 0)
+    }
+
+    private companion object {
+        const val LAYERS = 12
+        const val SEED = 1
+    }
+}
--- /dev/null
+++ b/storage/src/test/kotlin/cassiaspindle/storage/DurableLogTest.kt
@@ -0,0 +1,101 @@
+package cassiaspindle.storage
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.ControlCommandKind
+import cassiaspindle.schema.LogEntry
+import cassiaspindle.schema.LogRecord
+import cassiaspindle.schema.LogRecordKind
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+
+class DurableLogTest : AnnotationSpec() {
+    private val faulty = FaultyFiles()
+
+    @BeforeEach
+    fun startEmpty() {
+        faulty.room = Int.MAX_VALUE
+        faulty.failsSync = false
+        open().rewrite(emptyList())
+    }
+
+    @Test
+    fun `synced records are found again`() {
+        open().append(records(1..3))
+        faulty.crash(LOG)
+        found() shouldBe records(1..3)
+    }
+
+    @Test
+    fun `a torn tail is cut wherever it is torn`() {
+        open().append(records(1..3))
+        val whole = faulty.length(LOG)
+        for (kept in 0..40) {
+            faulty.failsSync = true
+            open().append(records(4..4)).getError().shouldNotBeNull().code shouldBe ResultCode.SYNC_FAILED
+            faulty.failsSync = false
+            faulty.crash(LOG, kept)
+            found() shouldBe records(1..3)
+            faulty.length(LOG) shouldBe whole
+        }
+    }
+
+    @Test
+    fun `damage before durable records is refused at every byte`() {
+        open().apply {
+            append(records(1..2))
+            append(records(3..3))
+        }
+        val second = faulty.length(LOG) / 3 * 2
+        for (offset in 0 until second - 1) {
+            faulty.flip(LOG, offset)
+            DurableLog.open(faulty.files).getError().shouldNotBeNull().code shouldBe ResultCode.LOG_DAMAGED
+            faulty.flip(LOG, offset)
+        }
+        found() shouldBe records(1..3)
+    }
+
+    @Test
+    fun `a full disk fails the append and loses nothing durable`() {
+        open().append(records(1..3))
+        faulty.room = 10
+        open().append(records(4..4)).getError().shouldNotBeNull().code shouldBe ResultCode.SYNC_FAILED
+        faulty.room = Int.MAX_VALUE
+        found() shouldBe records(1..3)
+    }
+
+    @Test
+    fun `a rewrite that fails leaves the old records`() {
+        open().append(records(1..3))
+        faulty.failsSync = true
+        open().rewrite(records(3..3)).getError().shouldNotBeNull().code shouldBe ResultCode.SYNC_FAILED
+        faulty.failsSync = false
+        found() shouldBe records(1..3)
+    }
+
+    @Test
+    fun `a rewritten log holds the new records and takes more`() {
+        open().apply {
+            append(records(1..3))
+            rewrite(records(3..3))
+            append(records(4..4))
+        }
+        found() shouldBe records(3..4)
+    }
+
+    private fun open(): DurableLog = DurableLog.open(faulty.files).get().shouldNotBeNull().log
+
+    private fun found(): List<LogRecord> = DurableLog.open(faulty.files).get().shouldNotBeNull().records
+
+    private fun records(indexes: IntRange): List<LogRecord> = indexes.map { index ->
+        val entry = LogEntry(index.toLong(), 1, ControlCommand(ControlCommandKind.NO_OPERATION))
+        LogRecord(group = 0, kind = LogRecordKind.ENTRY, entry = entry)
+    }
+
+    private companion object {
+        const val LOG = "control.log"
+    }
+}
