Check random request histories against an oracle

Cause: attempts, late answers, orders and cancellations were only tried on a healthy fleet. Change: an entry VM's request decisions in simulated time with runners that crash, freeze and refuse, results lost, late and repeated, plain services that lose answers, a slow ledger and impatient callers; four planted faults.

--- a/history/src/main/kotlin/cassiaspindle/history/control/ControlHistory.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/control/ControlHistory.kt
@@ -1,4 +1,4 @@
-package cassiaspindle.history
+package cassiaspindle.history.control
 
 import cassiaspindle.control.group.ControlEffect
 import cassiaspindle.control.group.ControlNode
@@ -43,7 +43,14 @@
             round()
         }
         if (leader() == null) oracle.stuck()
-        oracle.orders.forEach { name -> leader()?.let { oracle.readOrder(name, it.second.reads.order(name, it.first)) } }
+        oracle.orders.forEach { name ->
+            leader()?.let {
+                oracle.readOrder(
+                    name,
+                    it.second.reads.order(name, it.first)
+                )
+            }
+        }
         return HistoryResult(
             seed = seed,
             violations = oracle.violations,
--- a/history/src/main/kotlin/cassiaspindle/history/control/ControlOracle.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/control/ControlOracle.kt
@@ -1,4 +1,4 @@
-package cassiaspindle.history
+package cassiaspindle.history.control
 
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.schema.CommandOutcome
--- a/history/src/main/kotlin/cassiaspindle/history/control/SimulatedDisk.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/control/SimulatedDisk.kt
@@ -1,4 +1,4 @@
-package cassiaspindle.history
+package cassiaspindle.history.control
 
 import cassiaspindle.replication.DurableWork
 import cassiaspindle.replication.GroupImage
--- a/history/src/main/kotlin/cassiaspindle/history/control/SimulatedNetwork.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/control/SimulatedNetwork.kt
@@ -1,4 +1,4 @@
-package cassiaspindle.history
+package cassiaspindle.history.control
 
 import cassiaspindle.schema.ReplicationMessage
 import kotlin.random.Random
--- a/history/src/main/kotlin/cassiaspindle/history/control/SimulatedReplica.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/control/SimulatedReplica.kt
@@ -1,4 +1,4 @@
-package cassiaspindle.history
+package cassiaspindle.history.control
 
 import cassiaspindle.control.group.ControlEffect
 import cassiaspindle.control.group.ControlNode
--- /dev/null
+++ b/history/src/main/kotlin/cassiaspindle/history/request/RequestHistory.kt
@@ -0,0 +1,171 @@
+package cassiaspindle.history.request
+
+import cassiaspindle.core.identity.Digest
+import cassiaspindle.core.identity.OrderKey
+import cassiaspindle.entry.admission.AdmissionControl
+import cassiaspindle.entry.catalog.ServiceCatalog
+import cassiaspindle.entry.membership.BackEndRegistry
+import cassiaspindle.entry.request.EntryIdentity
+import cassiaspindle.entry.request.Policies
+import cassiaspindle.entry.request.RequestController
+import cassiaspindle.entry.request.RequestStart
+import cassiaspindle.schema.AllowedCaller
+import cassiaspindle.schema.CallStage
+import cassiaspindle.schema.EntryNews
+import cassiaspindle.schema.ModelStage
+import cassiaspindle.schema.Priority
+import cassiaspindle.schema.ServiceDocument
+import cassiaspindle.schema.ServiceRequest
+import cassiaspindle.schema.Stage
+import cassiaspindle.schema.StoredDocument
+import cassiaspindle.standin.application.StandInApplication
+import cassiaspindle.standin.model.FleetRecorder
+import kotlin.random.Random
+
+/** How one history ended. */
+data class RequestHistoryResult(
+    val seed: Long,
+    /** What broke the promises; empty for a good history. */
+    val violations: List<String>,
+    val requests: Int,
+    val answers: Int,
+)
+
+/**
+ * One random history of requests at an entry VM under faults, from one seed.
+ *
+ * Runners crash, freeze and return; results are late, repeated and lost; plain services lose answers; the ledger
+ * answers late; callers go away and resend orders. Then all faults end and everything has to end as well.
+ */
+class RequestHistory(private val seed: Long, private val faults: RequestFaults = RequestFaults()) {
+    private val random = Random(seed)
+    private val recorder = FleetRecorder()
+    private val oracle = RequestOracle(recorder)
+    private val fleet = SimulatedFleet(random, recorder)
+    private val registry = BackEndRegistry(LEASE_MILLISECONDS)
+    private val catalog = ServiceCatalog()
+    private val identity = EntryIdentity("entry", incarnation = 1, "howrah", PROGRESS_MILLISECONDS)
+    private val controller =
+        RequestController(identity, AdmissionControl(catalog), registry, Policies({ random.nextInt(it) }))
+    private val time = SimulatedTime(random)
+    private val surroundings = SimulatedSurroundings(
+        random,
+        time,
+        Surrounded(
+            controller,
+            fleet,
+            SimulatedApplications(time, recorder, oracle, faults),
+            SimulatedLedger(faults, WALL),
+            oracle,
+            faults,
+        ),
+    )
+    private val orderKeys = List(ORDER_KEYS) { OrderKey.of(WALL, it, random.nextLong()) }
+    private var requests = 0
+
+    /** Runs the history. */
+    fun run(): RequestHistoryResult {
+        applyDocuments()
+        repeat(FAULTY_ROUNDS) {
+            if (random.nextInt(ONE_IN_DISTURBED) == 0) fleet.disturb()
+            if (random.nextInt(ONE_IN_REQUEST) == 0) send()
+            round()
+        }
+        time.isFaulty = false
+        fleet.runners.forEach { it.mend() }
+        repeat(HEALED_ROUNDS) { round() }
+        val held = registry.usable(time.nowMilliseconds).sumOf { it.inFlight }
+        oracle.finish(controller.inFlight, held)
+        return RequestHistoryResult(seed, oracle.violations, requests, oracle.answers)
+    }
+
+    private fun round() {
+        time.pass(ROUND_MILLISECONDS)
+        announce()
+    }
+
+    private fun announce() {
+        val now = faults.leaseTime(time.nowMilliseconds)
+        fleet.runners.filter { it.isUp }.forEach { registry.announce(it.announcement(), now) }
+        fleet.applications.forEach { registry.announce(it, now) }
+    }
+
+    private fun send() {
+        requests++
+        if (random.nextInt(ONE_IN_ORDER) == 0) sendOrder() else sendRequest()
+    }
+
+    private fun sendRequest() {
+        val body = ServiceRequest("prompt ${random.nextInt()}", random.nextInt(1, MAXIMUM_TOKENS), random.nextLong())
+        val tokens = RequestOracle.expectedTokens(body.input, body.samplingSeed, body.maximumTokens)
+        val output = StandInApplication.expectedOutput("explain", tokens.joinToString(" "))
+        start(Sent("request-$requests", tokens, output, orderName = null), ANALYSIS, body, orderKey = null)
+    }
+
+    private fun sendOrder() {
+        val key = orderKeys.random(random)
+        val body = ServiceRequest("order ${key.text}")
+        val output = StandInApplication.expectedOutput("reject", body.input)
+        start(Sent("request-$requests", emptyList(), output, "$ACCOUNT/${key.text}"), ORDERS, body, key)
+    }
+
+    private fun start(sent: Sent, service: String, body: ServiceRequest, orderKey: OrderKey?) {
+        oracle.sent(sent)
+        val start = RequestStart(
+            requestId = sent.requestId,
+            service = service,
+            keyDigest = Digest.of(ACCOUNT_KEY),
+            body = body,
+            bodyDigest = Digest.of(body.input),
+            priority = Priority.NORMAL,
+            deadlineMilliseconds = time.nowMilliseconds + random.nextLong(SHORTEST_DEADLINE, LONGEST_DEADLINE),
+            orderKey = orderKey,
+        )
+        surroundings.perform(controller.start(start, time.nowMilliseconds))
+        if (random.nextInt(ONE_IN_IMPATIENT) == 0) surroundings.goAway(sent.requestId)
+    }
+
+    private fun applyDocuments() {
+        val caller = AllowedCaller(ACCOUNT, Digest.of(ACCOUNT_KEY))
+        val stages = listOf(
+            Stage("generate", model = ModelStage(MODEL, "v1", LAYERS)),
+            Stage("explain", call = CallStage(APPLICATION, "explain", repeatable = true)),
+        )
+        val reject = CallStage(APPLICATION, "reject", repeatable = false, statusRead = random.nextBoolean())
+        val documents = listOf(
+            ServiceDocument(ANALYSIS, 1, stages, listOf(caller)),
+            ServiceDocument(ORDERS, 1, listOf(Stage("reject", call = reject)), listOf(caller)),
+        )
+        catalog.renew(
+            EntryNews(
+                sentMilliseconds = 0,
+                leaseMilliseconds = Long.MAX_VALUE,
+                documentSequence = documents.size.toLong(),
+                documents = documents.mapIndexed { index, document -> StoredDocument(index + 1L, "", document) },
+                addresses = emptyList(),
+            ),
+        )
+        announce()
+    }
+
+    private companion object {
+        const val WALL = 10_000_000L
+        const val ACCOUNT = "account"
+        const val ACCOUNT_KEY = "key"
+        const val ANALYSIS = "seam-analysis"
+        const val ORDERS = "reject-orders"
+        const val LEASE_MILLISECONDS = 300L
+        const val PROGRESS_MILLISECONDS = 150L
+        const val ROUND_MILLISECONDS = 10L
+        const val FAULTY_ROUNDS = 250
+        const val HEALED_ROUNDS = 500
+        const val ONE_IN_DISTURBED = 12
+        const val ONE_IN_REQUEST = 3
+        const val ONE_IN_ORDER = 3
+        const val ONE_IN_IMPATIENT = 12
+        const val ORDER_KEYS = 25
+        const val MAXIMUM_TOKENS = 12
+        const val SHORTEST_DEADLINE = 50L
+        const val LONGEST_DEADLINE = 2_500L
+    }
+}
--- /dev/null
+++ b/history/src/main/kotlin/cassiaspindle/history/request/SimulatedFleet.kt
@@ -0,0 +1,106 @@
+package cassiaspindle.history.request
+
+import cassiaspindle.schema.BackEndAnnouncement
+import cassiaspindle.schema.CallDescription
+import cassiaspindle.schema.PlainServiceDescription
+import cassiaspindle.schema.RunnerDescription
+import cassiaspindle.schema.StepOutcome
+import cassiaspindle.schema.StepRequest
+import cassiaspindle.schema.StepResult
+import cassiaspindle.standin.model.FleetRecorder
+import cassiaspindle.standin.runner.KvStore
+import kotlin.random.Random
+
+private const val CAPACITY = 6
+internal const val MODEL = "seam-llm"
+internal const val LAYERS = 32
+internal const val APPLICATION = "line-app"
+
+/** Runners and plain services that crash, freeze, leave and return. */
+internal class SimulatedFleet(private val random: Random, private val recorder: FleetRecorder) {
+    private val ranges = listOf(
+        0 to HALF,
+        HALF to LAYERS,
+        0 to HALF + EIGHTH,
+        HALF - EIGHTH to LAYERS,
+        0 to QUARTER,
+        QUARTER to HALF + QUARTER,
+        HALF + QUARTER to LAYERS,
+        0 to LAYERS,
+    )
+
+    val runners: List<SimulatedRunner> = ranges.mapIndexed { index, (first, end) ->
+        SimulatedRunner("runner-$index", RunnerDescription("kind-${index % 2}", MODEL, "v1", first, end), recorder)
+    }
+
+    val applications: List<BackEndAnnouncement> = List(2) { index ->
+        val calls = listOf(CallDescription("explain", true), CallDescription("reject", false))
+        announcement(
+            "$APPLICATION-$index",
+            incarnation = 1
+        ).copy(plainService = PlainServiceDescription(APPLICATION, calls))
+    }
+
+    fun runner(name: String): SimulatedRunner? = runners.firstOrNull { it.name == name }
+
+    /** Crashes, freezes or mends one runner. */
+    fun disturb() {
+        val victim = runners.random(random)
+        when (random.nextInt(DISTURBANCES)) {
+            0 -> victim.crash()
+            1 -> victim.isFrozen = true
+            else -> victim.mend()
+        }
+    }
+
+    private companion object {
+        const val DISTURBANCES = 6
+        const val HALF = LAYERS / 2
+        const val QUARTER = HALF / 2
+        const val EIGHTH = QUARTER / 2
+    }
+}
+
+/** A runner in memory. */
+internal class SimulatedRunner(
+    val name: String,
+    private val description: RunnerDescription,
+    private val recorder: FleetRecorder,
+) {
+    private var store = KvStore(description, recorder)
+    private var incarnation = 1L
+
+    var isUp = true
+        private set
+
+    /** Takes steps and announces itself, but answers nothing. */
+    var isFrozen = false
+
+    fun announcement(): BackEndAnnouncement = announcement(name, incarnation).copy(runner = description)
+
+    fun crash() {
+        isUp = false
+        store = KvStore(description, recorder)
+    }
+
+    fun mend() {
+        if (!isUp) incarnation++
+        isUp = true
+        isFrozen = false
+    }
+
+    /** The result of [step]; null where the runner gives none. */
+    fun run(step: StepRequest, refuses: Boolean): StepResult? = when {
+        !isUp -> null
+        refuses -> StepResult(step.request, step.attempt, step.position, step.endLayer, StepOutcome.OVERLOADED)
+        else -> store.run(step).takeIf { !isFrozen }
+    }
+}
+
+private fun announcement(name: String, incarnation: Long) = BackEndAnnouncement(
+    name = name,
+    incarnation = incarnation,
+    address = "$name:1",
+    availabilityZone = "howrah",
+    capacity = CAPACITY,
+)
--- /dev/null
+++ b/history/src/main/kotlin/cassiaspindle/history/request/SimulatedSurroundings.kt
@@ -0,0 +1,93 @@
+package cassiaspindle.history.request
+
+import cassiaspindle.entry.request.EntryEffect
+import cassiaspindle.entry.request.RequestController
+import cassiaspindle.schema.StepRequest
+import cassiaspindle.schema.StepResult
+import kotlin.random.Random
+
+/** What the surroundings of an entry VM consist of. */
+internal data class Surrounded(
+    val controller: RequestController,
+    val fleet: SimulatedFleet,
+    val applications: SimulatedApplications,
+    val ledger: SimulatedLedger,
+    val oracle: RequestOracle,
+    val faults: RequestFaults,
+)
+
+/** Carries out the effects of an entry VM in simulated time, as unreliably as a network does. */
+internal class SimulatedSurroundings(
+    private val random: Random,
+    private val time: SimulatedTime,
+    private val parts: Surrounded,
+) {
+    private val runningAttempt = mutableMapOf<String, Int>()
+    private val now: Long get() = time.nowMilliseconds
+
+    fun perform(effects: List<EntryEffect>) = effects.forEach(::perform)
+
+    /** The caller of [requestId] goes away after a while. */
+    fun goAway(requestId: String) = time.at(now + random.nextLong(PATIENCE_MILLISECONDS)) {
+        parts.oracle.gone(requestId)
+        perform(parts.controller.cancel(requestId, now))
+    }
+
+    private fun perform(effect: EntryEffect) {
+        when (effect) {
+            is EntryEffect.SendStep -> send(effect)
+            is EntryEffect.CancelAttempt -> Unit
+            is EntryEffect.CallApplication -> time.later { call(effect) }
+            is EntryEffect.ReadOrderStatus -> time.later { readStatus(effect) }
+            is EntryEffect.Submit -> time.later { submit(effect) }
+            is EntryEffect.GiveToken -> parts.oracle.token(effect.requestId, effect.token)
+            is EntryEffect.GiveAnswer -> parts.oracle.answer(effect.answer)
+            is EntryEffect.GiveFailure -> parts.oracle.failure(effect.requestId, effect.failure)
+            is EntryEffect.WakeAt -> time.at(effect.atMilliseconds) {
+                perform(parts.controller.wake(effect.requestId, now))
+            }
+        }
+    }
+
+    private fun send(effect: EntryEffect.SendStep) {
+        runningAttempt[effect.step.request] = effect.step.attempt
+        if (!time.happens(ONE_IN_LOST)) time.later { run(effect.backEnd.name, effect.step) }
+    }
+
+    private fun run(backEnd: String, step: StepRequest) {
+        val runner = parts.fleet.runner(backEnd)
+        val result = runner?.run(step, refuses = time.happens(ONE_IN_REFUSED))
+        if (runner?.isUp == false) time.later { perform(parts.controller.backEndLost(backEnd, now)) }
+        if (result != null && !time.happens(ONE_IN_LOST)) {
+            deliver(result)
+            if (time.happens(ONE_IN_REPEATED)) deliver(result)
+        }
+    }
+
+    private fun deliver(result: StepResult) = time.later {
+        val seen = parts.faults.resultSeen(result, runningAttempt[result.request] ?: result.attempt)
+        perform(parts.controller.stepAnswered(seen, now))
+    }
+
+    private fun call(effect: EntryEffect.CallApplication) {
+        val outcome = parts.applications.call(effect)
+        time.later { perform(parts.controller.callEnded(effect.requestId, effect.attempt, outcome, now)) }
+    }
+
+    private fun readStatus(effect: EntryEffect.ReadOrderStatus) {
+        val outcome = parts.applications.readStatus(effect)
+        time.later { perform(parts.controller.callEnded(effect.requestId, effect.attempt, outcome, now)) }
+    }
+
+    private fun submit(effect: EntryEffect.Submit) {
+        val outcome = parts.ledger.decide(effect.command)
+        time.later { perform(parts.controller.commandDecided(effect.requestId, outcome, now)) }
+    }
+
+    private companion object {
+        const val ONE_IN_LOST = 60
+        const val ONE_IN_REPEATED = 20
+        const val ONE_IN_REFUSED = 30
+        const val PATIENCE_MILLISECONDS = 400L
+    }
+}
--- a/history/src/test/kotlin/cassiaspindle/history/control/ControlHistoryTest.kt
+++ b/history/src/test/kotlin/cassiaspindle/history/control/ControlHistoryTest.kt
@@ -1,4 +1,4 @@
-package cassiaspindle.history
+package cassiaspindle.history.control
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
--- a/standin/src/main/kotlin/cassiaspindle/standin/model/FleetRecorder.kt
+++ b/standin/src/main/kotlin/cassiaspindle/standin/model/FleetRecorder.kt
@@ -42,6 +42,10 @@
     /** Layers that ran twice, out of order or not at all before a later one. */
     fun layerViolations(): List<String> = violations.withIndex(0) { it.toList() }
 
+    /** Whether any layer ran for the request [requestId]. */
+    fun hasRun(requestId: String): Boolean =
+        passes.withKey(requestId) { known -> known.keys.any { it.request == requestId } }
+
     /** Tokens that passed through at least one layer. */
     fun tokenPasses(): Int = passes.mapEach { it.size }.sum()
 
--- a/standin/src/main/kotlin/cassiaspindle/standin/runner/KvStore.kt
+++ b/standin/src/main/kotlin/cassiaspindle/standin/runner/KvStore.kt
@@ -15,12 +15,13 @@
 private const val SHARDS = 8
 
 /** The attempts that a runner holds; it refuses a step that is repeated or out of order. */
-internal class KvStore(private val description: RunnerDescription, private val recorder: FleetRecorder) {
+class KvStore(private val description: RunnerDescription, private val recorder: FleetRecorder) {
     private val shards = Sharded(SHARDS) { mutableMapOf<AttemptName, HeldAttempt>() }
 
     /** Number of attempts held. */
     val size: Int get() = shards.mapEach { it.size }.sum()
 
+    /** Runs [step], or tells why not. */
     fun run(step: StepRequest): StepResult {
         val refusal = refusalOf(step)
         val input = if (refusal == null) shards.withKey(step.request) { accept(it, step) } else null
@@ -39,16 +40,19 @@
         }
     }
 
+    /** Drops an attempt. */
     fun cancel(name: AttemptName) {
         shards.withKey(name.request) { it.remove(name) }
     }
 
+    /** The KV cache of an attempt, or null where it is not held. */
     fun export(name: AttemptName): KvCache? = shards.withKey(name.request) { held ->
         held[name]?.let {
             KvCache(name, it.firstLayer, it.endLayer, it.nextPosition, "${it.state} ${it.textLength}")
         }
     }
 
+    /** Takes over an attempt from another runner. */
     fun import(cache: KvCache) {
         val (state, textLength) = cache.content.split(" ")
         shards.withKey(cache.attempt.request) {
