--- /dev/null
+++ b/command/src/test/kotlin/cassiaspindle/command/CommandLineTest.kt
@@ -0,0 +1,27 @@
+package cassiaspindle.command
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import java.nio.file.Files
+import java.nio.file.Path
+
+class CommandLineTest : AnnotationSpec() {
+    @Test
+    fun `settings check tells good files from bad ones by its exit status`() {
+        val document = Path.of("src/main/resources/examples/hooghly/seam-analysis.json")
+        val bad = Files.createTempFile("settings", ".json").also { Files.writeString(it, """{"listenAddress": 1}""") }
+        val files = mapOf(
+            document.toString() to ExitStatus.DONE,
+            bad.toString() to ExitStatus.USAGE,
+            "no-such-file.json" to ExitStatus.USAGE,
+        )
+        for ((file, status) in files) {
+            runCommandLine(arrayOf("settings", "check", file)) shouldBe status
+        }
+    }
+
+    @Test
+    fun `an operator command without its settings file ends with the usage status`() {
+        runCommandLine(arrayOf("status", "--settings", "no-such-file.json")) shouldBe ExitStatus.USAGE
+    }
+}
--- /dev/null
+++ b/daemon/control/src/test/kotlin/cassiaspindle/daemon/control/ControlDaemonTest.kt
@@ -0,0 +1,86 @@
+package cassiaspindle.daemon.control
+
+import cassiaspindle.codec.Keys
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.core.time.Clock
+import cassiaspindle.schema.CallStage
+import cassiaspindle.schema.ControlAddress
+import cassiaspindle.schema.ControlSettings
+import cassiaspindle.schema.KeyFiles
+import cassiaspindle.schema.ServiceDocument
+import cassiaspindle.schema.Stage
+import cassiaspindle.transport.http.client.OperatorClient
+import cassiaspindle.transport.http.client.newHttpClient
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.random.Random
+
+class ControlDaemonTest : AnnotationSpec() {
+    private val keys = Keys("system", "operator", "backend")
+    private val folder: Path = Files.createTempDirectory("control-daemon")
+    private val addresses = List(3) { ControlAddress("control-$it", "127.0.0.1:${port()}", "127.0.0.1:${port()}") }
+    private val daemons = addresses.map { start(it.name) }.toMutableList()
+    private val http = newHttpClient()
+    private val operators = OperatorClient(http, addresses, keys.operator)
+
+    @AfterAll
+    fun stop() {
+        daemons.forEach(ControlDaemon::close)
+        http.close()
+        folder.toFile().deleteRecursively()
+    }
+
+    @Test
+    suspend fun `documents survive restarts and a replaced disk`() {
+        operators.apply(document(1)).get()?.version shouldBe 1
+        operators.apply(document(3)).getError()?.code shouldBe ResultCode.VERSION_CONFLICT
+        operators.apply(document(1, call = "other")).getError()?.code shouldBe ResultCode.VERSION_CONFLICT
+        daemons.indices.forEach { index ->
+            daemons[index].close()
+            if (index == 0) folder.resolve("control-0").toFile().deleteRecursively()
+            daemons[index] = start("control-$index")
+            operators.apply(document(index + 2L)).get()?.version shouldBe index + 2L
+        }
+        operators.show("service").get().shouldNotBeNull().document.version shouldBe 4
+        operators.history("service").get()?.versions?.map { it.version } shouldBe listOf(1, 2, 3, 4)
+    }
+
+    @Test
+    suspend fun `an operator without the key and a bad document are refused`() {
+        val stranger = OperatorClient(http, addresses, "wrong")
+        stranger.show("service").getError()?.code shouldBe ResultCode.UNAUTHENTICATED
+        val contradiction = document(9).copy(stages = listOf(Stage("empty")))
+        operators.apply(contradiction).getError()?.code shouldBe ResultCode.DOCUMENT_INVALID
+        operators.apply(document(9).copy(service = "No Name")).getError()?.code shouldBe ResultCode.DOCUMENT_INVALID
+        operators.show("nothing").getError()?.code shouldBe ResultCode.UNKNOWN_DOCUMENT
+    }
+
+    private fun document(version: Long, call: String = "explain") = ServiceDocument(
+        service = "service",
+        version = version,
+        stages = listOf(Stage("explain", call = CallStage("line-app", call, repeatable = true))),
+        callers = emptyList(),
+    )
+
+    private fun start(name: String): ControlDaemon {
+        val settings = ControlSettings(
+            name = name,
+            availabilityZone = "howrah",
+            dataFolder = folder.resolve(name).toString(),
+            replicas = addresses,
+            keyFiles = KeyFiles("unused", "unused", "unused"),
+            electionTimeoutMilliseconds = 300,
+        )
+        val random = Random(name.hashCode())
+        val environment = ControlEnvironment(keys, Clock.system, { random.nextInt(it) }, onFatal = {})
+        return ControlDaemon.start(settings, environment).get().shouldNotBeNull()
+    }
+
+    private fun port(): Int = ServerSocket(0).use { it.localPort }
+}
--- /dev/null
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
@@ -0,0 +1,131 @@
+package cassiaspindle.transport.http
+
+import cassiaspindle.codec.decodeJson
+import cassiaspindle.core.identity.OrderKey
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.EntryAddresses
+import cassiaspindle.schema.ErrorAnswer
+import cassiaspindle.schema.Execution
+import cassiaspindle.schema.ServiceAnswer
+import cassiaspindle.schema.TokenEvent
+import cassiaspindle.transport.http.caller.CallerEvent
+import cassiaspindle.transport.http.caller.CallerFrontEnd
+import cassiaspindle.transport.http.caller.CallerRequest
+import cassiaspindle.transport.http.caller.CallerSession
+import cassiaspindle.transport.http.caller.callerRoutes
+import cassiaspindle.transport.http.server.HttpFrontEnd
+import cassiaspindle.transport.http.server.Metrics
+import cassiaspindle.transport.http.server.errorAnswerOf
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.get
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.util.concurrent.CopyOnWriteArrayList
+
+class CallerRoutesTest : AnnotationSpec() {
+    private val metrics = Metrics()
+    private val begun = CopyOnWriteArrayList<CallerRequest>()
+    private val events = CopyOnWriteArrayList<CallerEvent>()
+    private val frontEnd = CallerFrontEnd(
+        maximumMessageBytes = MAXIMUM_BYTES,
+        metrics = metrics,
+        discover = { EntryAddresses(1_000, emptyList()) },
+        begin = ::begin,
+        orderStatus = { _, _, _ -> Err(Failure(ResultCode.UNKNOWN_ORDER)) },
+        describe = ::errorAnswerOf,
+    )
+    private val server = HttpFrontEnd.start("127.0.0.1", 0, metrics) { callerRoutes(frontEnd) }
+    private val client = HttpClient.newHttpClient()
+
+    @AfterAll
+    fun stop() = server.close()
+
+    @Test
+    fun `each bad request gets its numbered code and is not begun`() {
+        val good = """{"input": "text"}"""
+        val key = OrderKey.of(1, 1, 1).text
+        val attempts = listOf(
+            Attempt("requests", good, ResultCode.UNAUTHENTICATED, bearer = null),
+            Attempt("requests", "{", ResultCode.MALFORMED),
+            Attempt("requests", """{"input": ""}""", ResultCode.MALFORMED),
+            Attempt("requests", """{"input": "text", "inptu": 1}""", ResultCode.MALFORMED),
+            Attempt("requests", """{"input": "text", "maximumTokens": 0}""", ResultCode.MALFORMED),
+            Attempt("requests", """{"input": "${"x".repeat(MAXIMUM_BYTES)}"}""", ResultCode.TOO_LARGE),
+            Attempt("requests", good, ResultCode.MALFORMED, headers = listOf("Request-Priority", "soon")),
+            Attempt("requests", good, ResultCode.MALFORMED, headers = listOf("Request-Deadline-Milliseconds", "0")),
+            Attempt("orders", good, ResultCode.ORDER_KEY_INVALID),
+            Attempt("orders", good, ResultCode.ORDER_KEY_INVALID, headers = listOf("Idempotency-Key", "1")),
+            Attempt("orders", "", ResultCode.MALFORMED, headers = listOf("Idempotency-Key", key)),
+            Attempt("nothing", good, ResultCode.UNKNOWN_PATH),
+        )
+        for (attempt in attempts) {
+            val answer = send(attempt)
+            val error = decodeJson<ErrorAnswer>(answer.body()).get().shouldNotBeNull()
+            error.code shouldBe attempt.code.number
+            error.execution shouldBe Execution.NOT_RUN
+        }
+        begun.size shouldBe 0
+        metrics.registry.scrape() shouldContain """cassiaspindle_results_total{code="101"} 1.0"""
+    }
+
+    @Test
+    fun `a stream gives tokens and then its end mark`() {
+        events += CallerEvent.Token(TokenEvent(0, 7))
+        events += CallerEvent.Answer(ServiceAnswer("1", 1, listOf(7), "out"))
+        val answer = send(
+            Attempt(
+                "requests",
+                """{"input": "text"}""",
+                ResultCode.OK,
+                headers = listOf("Accept", "text/event-stream")
+            ),
+        )
+        val events = answer.body().split("\n\n").map { it.substringBefore('\n') }
+        events shouldBe listOf("event: token", "event: answer", "")
+        begun.clear()
+    }
+
+    @Test
+    fun `a failure before the first token has its own status`() {
+        events += CallerEvent.Failed(Failure(ResultCode.ACCOUNT_LIMIT))
+        val attempt = Attempt("requests", """{"input": "text"}""", ResultCode.ACCOUNT_LIMIT)
+        send(attempt.copy(headers = listOf("Accept", "text/event-stream"))).statusCode() shouldBe 429
+        begun.clear()
+    }
+
+    private fun begin(request: CallerRequest): CallerSession {
+        begun += request
+        val session = CallerSession("1", abandon = {})
+        events.forEach { session.events.trySend(it) }
+        events.clear()
+        return session
+    }
+
+    private fun send(attempt: Attempt): HttpResponse<String> {
+        val address = "http://127.0.0.1:${server.port}/v1/services/service/${attempt.path}"
+        val builder = HttpRequest.newBuilder(URI(address))
+            .POST(HttpRequest.BodyPublishers.ofString(attempt.body))
+        attempt.bearer?.let { builder.header("Authorization", "Bearer $it") }
+        attempt.headers.chunked(2).forEach { (name, value) -> builder.header(name, value) }
+        return client.send(builder.build(), HttpResponse.BodyHandlers.ofString())
+    }
+
+    private data class Attempt(
+        val path: String,
+        val body: String,
+        val code: ResultCode,
+        val bearer: String? = "key",
+        val headers: List<String> = emptyList(),
+    )
+
+    private companion object {
+        const val MAXIMUM_BYTES = 2_048
+    }
+}
