Keep requests away from runners that fell silent

Cause: a runner that is frozen with its connections open still announces itself. Suspicion ended with the next announcement, so each of the six attempts of a stream went to another frozen runner, or back to one. Ruled out: detection itself; every attempt was given up after 1 s as it should be. Change: suspicion lasts 0.5 s and doubles with each failure until the runner has done what it was asked; a request goes back to a runner that failed it only where nothing else is left. Conclusion: announcements say that a process lives, not that it answers.

--- a/command/src/main/kotlin/cassiaspindle/command/local/LocalRun.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LocalRun.kt
@@ -48,7 +48,7 @@
 
     /** Runs the example; [ResultCode.LOCAL_RUN_FAILED] where an invariant did not hold. */
     fun run(): Result<Unit, Failure> {
-        val system = LocalSystem(example) { bound -> random.nextInt(bound) }
+        val system = LocalSystem(example, { bound -> random.nextInt(bound) })
         return try {
             runBlocking(Dispatchers.Default) { runIn(system) }
         } finally {
--- a/command/src/main/kotlin/cassiaspindle/command/local/LocalSystem.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LocalSystem.kt
@@ -43,7 +43,12 @@
 private const val HOST = "127.0.0.1"
 
 /** Both daemons and the stand-ins in one process, over real sockets on ports that the system picks. */
-class LocalSystem(private val example: Example, private val random: RandomSource) {
+class LocalSystem(
+    private val example: Example,
+    private val random: RandomSource,
+    /** Changes the settings of the entry VMs. */
+    private val adjust: (EntrySettings) -> EntrySettings = { it },
+) {
     private val clock = Clock.system
     private val folder: Path = Files.createTempDirectory("cassiaspindle-local")
     private val keys = Keys("local-system-key", "local-operator-key", "local-backend-key")
@@ -139,7 +144,7 @@
             controls = addresses,
             keyFiles = KeyFiles("unused", "unused", "unused"),
         )
-        return EntryDaemon(settings, EntryEnvironment(keys, clock, random))
+        return EntryDaemon(adjust(settings), EntryEnvironment(keys, clock, random))
     }
 
     private fun standIn(name: String, index: Int, capacity: Int) = StandInSettings(
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/membership/BackEndRegistry.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/membership/BackEndRegistry.kt
@@ -32,6 +32,7 @@
                     leaseEndMilliseconds = nowMilliseconds + leaseMilliseconds,
                     inFlight = kept?.inFlight ?: 0,
                     report = kept?.report,
+                    suspicion = kept?.suspicion ?: Suspicion(),
                 )
                 true
             }
@@ -46,10 +47,21 @@
         if (report.sequence > newest) known.copy(report = report) else known
     }
 
-    /** Gives the backend server [name] no new work until it announces itself again. */
-    fun suspect(name: String) {
+    /**
+     * Gives the backend server [name] no new work for a while, each time twice as long.
+     *
+     * A back end can be silent on its streams and still announce itself, so that an announcement clears nothing.
+     */
+    fun suspect(name: String, nowMilliseconds: Long) {
         shards.withKey(name) { backEnds ->
-            backEnds.computeIfPresent(name) { _, known -> known.copy(suspected = true) }
+            backEnds.computeIfPresent(name) { _, known -> known.copy(suspicion = known.suspicion.again(nowMilliseconds)) }
+        }
+    }
+
+    /** Takes the news that [name] did what it was asked: its next failure counts as the first again. */
+    fun prove(name: String) {
+        shards.withKey(name) { backEnds ->
+            backEnds.computeIfPresent(name) { _, known -> known.copy(suspicion = known.suspicion.proved()) }
         }
     }
 
@@ -88,13 +100,13 @@
         val inFlight: Int = 0,
         val report: LoadReport? = null,
         val left: Boolean = false,
-        val suspected: Boolean = false,
+        val suspicion: Suspicion = Suspicion(),
     ) {
         fun outlives(incarnation: Long): Boolean =
             announcement.incarnation > incarnation || (left && announcement.incarnation == incarnation)
 
         fun isUsable(nowMilliseconds: Long): Boolean =
-            !left && !suspected && leaseEndMilliseconds > nowMilliseconds
+            !left && !suspicion.holds(nowMilliseconds) && leaseEndMilliseconds > nowMilliseconds
 
         fun view() = BackEndView(announcement, inFlight, report?.let { it.running + it.queued } ?: 0)
     }
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/request/ModelStageDriver.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/ModelStageDriver.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.entry.request
 
 import cassiaspindle.entry.membership.BackEndView
+import cassiaspindle.entry.routing.Chain
 import cassiaspindle.entry.routing.ChainQuestion
 import cassiaspindle.schema.ModelStage
 import cassiaspindle.schema.StepResult
@@ -14,6 +15,9 @@
 ) {
     private var run: ModelStageRun? = null
 
+    /** Runners that failed this request; it goes back to them only where nothing else is left. */
+    private val failed = mutableSetOf<String>()
+
     /** Whether an attempt is under way. */
     val isRunning: Boolean get() = run?.isRunning == true
 
@@ -27,9 +31,8 @@
 
     /** Starts an attempt; false where no chain has room. */
     fun place(stage: ModelStage, input: String, candidates: List<BackEndView>): Boolean {
-        val question =
-            ChainQuestion(stage, candidates, context.identity.availabilityZone, context.policies.random)
-        val chain = context.policies.chain(question) ?: return false
+        val fresh = candidates.filter { it.name !in failed }
+        val chain = choose(stage, fresh) ?: choose(stage, candidates) ?: return false
         val current = run ?: ModelStageRun(plan, stage, input).also { run = it }
         current.begin(chain, progress.nextAttempt())
         current.backEnds.forEach { context.steps.add(RequestStep.Occupy(it.name, 1)) }
@@ -64,6 +67,7 @@
     fun backEndLost(backEnd: String, nowMilliseconds: Long): StageAdvance {
         if (!uses(backEnd)) return StageAdvance.GoesOn
         progress.progressMilliseconds = nowMilliseconds
+        failed += backEnd
         context.steps.add(RequestStep.Suspect(backEnd))
         return placeAgain()
     }
@@ -79,7 +83,12 @@
         }
     }
 
+    private fun choose(stage: ModelStage, candidates: List<BackEndView>): Chain? = context.policies.chain(
+        ChainQuestion(stage, candidates, context.identity.availabilityZone, context.policies.random),
+    )
+
     private fun finish(current: ModelStageRun): StageAdvance {
+        current.backEnds.forEach { context.steps.add(RequestStep.Prove(it.name)) }
         abandon()
         progress.finishedTokens += current.tokens
         run = null
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestController.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestController.kt
@@ -53,7 +53,7 @@
 
     /** Takes the loss of the stream to a runner. */
     fun backEndLost(backEnd: String, nowMilliseconds: Long): List<EntryEffect> {
-        registry.suspect(backEnd)
+        registry.suspect(backEnd, nowMilliseconds)
         val affected = shards.mapEach { machines -> machines.filterValues { it.uses(backEnd) }.keys.toList() }
         return affected.flatten().flatMap { handle(it, RequestEvent.BackEndLost(backEnd), nowMilliseconds) }
     }
@@ -93,7 +93,8 @@
     private fun carryOut(requestId: String, step: RequestStep, nowMilliseconds: Long): List<EntryEffect> = when (step) {
         is RequestStep.Outward -> listOf(step.effect)
         is RequestStep.Occupy -> emptyList<EntryEffect>().also { registry.occupy(step.backEnd, step.change) }
-        is RequestStep.Suspect -> emptyList<EntryEffect>().also { registry.suspect(step.backEnd) }
+        is RequestStep.Prove -> emptyList<EntryEffect>().also { registry.prove(step.backEnd) }
+        is RequestStep.Suspect -> emptyList<EntryEffect>().also { registry.suspect(step.backEnd, nowMilliseconds) }
         RequestStep.FindCandidates -> {
             val candidates = RequestEvent.Candidates(registry.usable(nowMilliseconds))
             handle(requestId, candidates, nowMilliseconds)
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestStep.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/RequestStep.kt
@@ -8,9 +8,12 @@
     /** Count [change] requests more in flight at a backend server. */
     data class Occupy(val backEnd: String, val change: Int) : RequestStep
 
-    /** Give a backend server no new work until it announces itself again. */
+    /** Give a backend server no new work for a while. */
     data class Suspect(val backEnd: String) : RequestStep
 
+    /** A backend server did all that it was asked: earlier failures count no more. */
+    data class Prove(val backEnd: String) : RequestStep
+
     /** Send [RequestEvent.Candidates]. */
     data object FindCandidates : RequestStep
 }
