Measure histories, path, control and routing on the real code

Cause: the bounds of the target were not compared with anything. Change: the command measure with nine experiments, a load that is shared by local and measurements, counters of syncs and log bytes.

--- a/command/src/main/kotlin/cassiaspindle/command/Main.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/Main.kt
@@ -3,6 +3,7 @@
 import cassiaspindle.command.daemon.ControlCommand
 import cassiaspindle.command.daemon.EntryCommand
 import cassiaspindle.command.local.LocalCommand
+import cassiaspindle.command.measure.MeasureCommand
 import cassiaspindle.command.operator.DocumentCommand
 import cassiaspindle.command.operator.DrainCommand
 import cassiaspindle.command.operator.OrdersCommand
@@ -37,6 +38,7 @@
         StatusCommand(outcome),
         OrdersCommand(outcome),
         DrainCommand(outcome),
+        MeasureCommand(outcome),
     )
     commands.forEach { parser.subcommands(it) }
     endUsageErrorsWith(parser, ExitStatus.USAGE)
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/local/ExampleDocuments.kt
@@ -0,0 +1,26 @@
+package cassiaspindle.command.local
+
+import cassiaspindle.codec.SettingsReader
+import cassiaspindle.core.result.Failure
+import cassiaspindle.schema.ServiceDocument
+import cassiaspindle.transport.http.client.OperatorClient
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+
+/** Applies the documents of [example]; documents that were applied before change nothing. */
+internal suspend fun applyDocuments(example: Example, operators: OperatorClient): Result<Unit, Failure> {
+    var applied: Result<Unit, Failure> = Ok(Unit)
+    for (service in example.services) {
+        applied = applied.flatMap { exampleDocument(example, service) }.flatMap { operators.apply(it) }.map { }
+    }
+    return applied
+}
+
+/** The document of [service] in [example]. */
+internal fun exampleDocument(example: Example, service: String): Result<ServiceDocument, Failure> {
+    val path = "/examples/${example.name}/$service.json"
+    val text = checkNotNull(Example::class.java.getResource(path)) { "$path is missing" }.readText()
+    return SettingsReader.document(text)
+}
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LoadReport.kt
@@ -0,0 +1,89 @@
+package cassiaspindle.command.local
+
+import cassiaspindle.core.time.Clock
+import cassiaspindle.standin.model.FleetRecorder
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/** What came of a load, as callers saw it and as the stand-ins counted it. */
+data class LoadReport(
+    val requestsWhole: Int,
+    /** Refused with the promise that nothing ran. */
+    val requestsRefused: Int,
+    val requestsFailed: Int,
+    val ordersOnce: Int,
+    /** Refused with the promise that nothing ran. */
+    val ordersRefused: Int,
+    val ordersFailed: Int,
+    val ordersTwice: Int,
+    /** Orders that were refused as not run and ran. */
+    val ordersRefusedButRun: Int,
+    val tokenPasses: Int,
+    val layerViolations: List<String>,
+    /** Longest time between two finished orders. */
+    val longestOrderGapMilliseconds: Long,
+) {
+    /** Whether nothing broke that must always hold. */
+    val holds: Boolean get() = ordersTwice == 0 && ordersRefusedButRun == 0 && layerViolations.isEmpty()
+
+    /** Whether every request and order was answered as well. */
+    val isComplete: Boolean
+        get() = holds && requestsRefused + requestsFailed + ordersRefused + ordersFailed == 0 &&
+            requestsWhole > 0 && ordersOnce > 0
+
+    override fun toString(): String =
+        "requests_whole=$requestsWhole requests_refused=$requestsRefused requests_failed=$requestsFailed " +
+            "orders_once=$ordersOnce orders_refused=$ordersRefused orders_failed=$ordersFailed " +
+            "orders_twice=$ordersTwice refused_but_run=$ordersRefusedButRun token_passes=$tokenPasses " +
+            "layer_violations=${layerViolations.size} longest_order_gap_milliseconds=$longestOrderGapMilliseconds"
+}
+
+/** Counts while a load runs; used by several threads. */
+internal class LoadCounts(private val clock: Clock) {
+    private val requestsWhole = AtomicInteger()
+    private val requestsRefused = AtomicInteger()
+    private val requestsFailed = AtomicInteger()
+    private val ordersOnce = AtomicInteger()
+    private val ordersRefused = AtomicInteger()
+    private val ordersFailed = AtomicInteger()
+    private val ordersRefusedButRun = AtomicInteger()
+    private val newestOrderMilliseconds = AtomicLong(clock.monotonicMilliseconds())
+    private val longestGapMilliseconds = AtomicLong()
+
+    fun request(isWhole: Boolean, isNotRun: Boolean) = when {
+        isWhole -> requestsWhole.incrementAndGet()
+        isNotRun -> requestsRefused.incrementAndGet()
+        else -> requestsFailed.incrementAndGet()
+    }
+
+    fun order(isOnce: Boolean, isNotRun: Boolean, runs: Int) {
+        when {
+            isOnce -> {
+                ordersOnce.incrementAndGet()
+                finished(clock.monotonicMilliseconds())
+            }
+            isNotRun && runs > 0 -> ordersRefusedButRun.incrementAndGet()
+            isNotRun -> ordersRefused.incrementAndGet()
+            else -> ordersFailed.incrementAndGet()
+        }
+    }
+
+    fun report(recorder: FleetRecorder) = LoadReport(
+        requestsWhole = requestsWhole.get(),
+        requestsRefused = requestsRefused.get(),
+        requestsFailed = requestsFailed.get(),
+        ordersOnce = ordersOnce.get(),
+        ordersRefused = ordersRefused.get(),
+        ordersFailed = ordersFailed.get(),
+        ordersTwice = recorder.ordersRunTwice(),
+        ordersRefusedButRun = ordersRefusedButRun.get(),
+        tokenPasses = recorder.tokenPasses(),
+        layerViolations = recorder.layerViolations(),
+        longestOrderGapMilliseconds = longestGapMilliseconds.get(),
+    )
+
+    private fun finished(nowMilliseconds: Long) {
+        val gap = nowMilliseconds - newestOrderMilliseconds.getAndSet(nowMilliseconds)
+        longestGapMilliseconds.accumulateAndGet(gap, ::maxOf)
+    }
+}
--- a/command/src/main/kotlin/cassiaspindle/command/local/LocalCommand.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LocalCommand.kt
@@ -8,6 +8,7 @@
 import kotlinx.cli.required
 
 private const val DEFAULT_SECONDS = 5
+private const val CALLERS = 6
 
 /** `local`: both daemons and the stand-ins in one process. */
 @OptIn(ExperimentalCli::class)
@@ -20,6 +21,6 @@
 
     override fun execute() {
         val chosen = checkNotNull(Example.named(example))
-        outcome.take(LocalRun(LocalOptions(chosen, seed, seconds), ::println).run())
+        outcome.take(LocalRun(LoadOptions(chosen, seed, seconds, CALLERS), ::println).run())
     }
 }
--- a/command/src/main/kotlin/cassiaspindle/command/local/LocalSystem.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LocalSystem.kt
@@ -1,7 +1,6 @@
 package cassiaspindle.command.local
 
 import cassiaspindle.codec.Keys
-import cassiaspindle.codec.SettingsReader
 import cassiaspindle.core.concurrency.RandomSource
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
@@ -14,12 +13,9 @@
 import cassiaspindle.schema.ControlSettings
 import cassiaspindle.schema.EntrySettings
 import cassiaspindle.schema.KeyFiles
-import cassiaspindle.schema.PlainServiceDescription
 import cassiaspindle.standin.application.StandInApplication
 import cassiaspindle.standin.model.FleetRecorder
 import cassiaspindle.standin.runner.StandInRunner
-import cassiaspindle.standin.runner.StandInSettings
-import cassiaspindle.transport.http.client.AnnouncementClient
 import cassiaspindle.transport.http.client.OperatorClient
 import cassiaspindle.transport.http.client.newHttpClient
 import com.github.michaelbull.result.Err
@@ -27,7 +23,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.getOrThrow
-import com.github.michaelbull.result.map
 import kotlinx.coroutines.delay
 import org.tinylog.kotlin.Logger
 import java.net.ServerSocket
@@ -36,8 +31,6 @@
 
 private const val CONTROLS = 3
 private const val ENTRIES = 3
-private const val APPLICATIONS = 2
-private const val RUNNER_CAPACITY = 32
 private const val READY_CHECK_MILLISECONDS = 50L
 private const val READY_CHECKS = 400
 private const val HOST = "127.0.0.1"
@@ -54,26 +47,23 @@
     private val keys = Keys("local-system-key", "local-operator-key", "local-backend-key")
     private val client = newHttpClient()
     private val addresses = controlAddresses()
-    private val controls = addresses.map { startControl(it) }
+
+    /** The control replicas that run, by name. */
+    val controls: MutableMap<String, ControlDaemon> =
+        addresses.associate { it.name to startControl(it) }.toMutableMap()
 
     /** The entry VMs. */
     val entries: List<EntryDaemon> = (0 until ENTRIES).map(::startEntry)
+    private val fleet = StandInFleet(example, client, keys.backEnd, entries.map(EntryDaemon::address))
 
     /** What the stand-ins have run. */
-    val recorder = FleetRecorder()
-    private val announcements = AnnouncementClient(client, keys.backEnd)
+    val recorder: FleetRecorder get() = fleet.recorder
 
     /** The runners. */
-    val runners: List<StandInRunner> = example.runners.mapIndexed { index, description ->
-        StandInRunner(standIn("runner-$index", index, RUNNER_CAPACITY), description, recorder, announcements)
-    }
+    val runners: List<StandInRunner> get() = fleet.runners
 
     /** The plain services. */
-    val applications: List<StandInApplication> = (0 until APPLICATIONS).map { index ->
-        val description = PlainServiceDescription(example.application, example.calls)
-        val name = "${example.application}-$index"
-        StandInApplication(standIn(name, index, RUNNER_CAPACITY), description, recorder, announcements)
-    }
+    val applications: List<StandInApplication> get() = fleet.applications
 
     /** The operators' side of the control replicas. */
     val operators = OperatorClient(client, addresses, keys.operator)
@@ -81,35 +71,27 @@
     /** Applies the example's documents and waits until every entry VM can serve. */
     suspend fun start(): Result<Unit, Failure> {
         entries.forEach(EntryDaemon::start)
-        runners.forEach(StandInRunner::start)
-        applications.forEach(StandInApplication::start)
-        for (service in example.services) {
-            val applied = document(service).flatMap { operators.apply(it) }.map { }
-            if (applied.isErr) return applied
-        }
-        return awaitReady()
+        fleet.start()
+        return applyDocuments(example, operators).flatMap { awaitReady() }
+    }
+
+    /** Starts the control replica [name] again after it was closed. */
+    fun restartControl(name: String) {
+        controls[name] = startControl(addresses.first { it.name == name })
     }
 
     /** Stops everything. */
     fun close() {
-        runners.forEach(StandInRunner::close)
-        applications.forEach(StandInApplication::close)
+        fleet.close()
         entries.forEach(EntryDaemon::close)
-        controls.forEach(ControlDaemon::close)
+        controls.values.forEach(ControlDaemon::close)
         client.close()
         folder.toFile().deleteRecursively()
     }
 
-    private fun document(service: String) =
-        SettingsReader.document(resource("/examples/${example.name}/$service.json"))
-
-    private fun resource(path: String): String =
-        checkNotNull(javaClass.getResource(path)) { "$path is missing" }.readText()
-
     private suspend fun awaitReady(): Result<Unit, Failure> {
-        val expected = runners.size + applications.size
         repeat(READY_CHECKS) {
-            if (entries.all { it.isReady && it.usableBackEnds.size == expected }) return Ok(Unit)
+            if (entries.all { it.isReady && it.usableBackEnds.size == fleet.size }) return Ok(Unit)
             delay(READY_CHECK_MILLISECONDS)
         }
         return Err(Failure(ResultCode.LOCAL_RUN_FAILED, "the system did not become ready"))
@@ -147,14 +129,6 @@
         return EntryDaemon(adjust(settings), EntryEnvironment(keys, clock, random))
     }
 
-    private fun standIn(name: String, index: Int, capacity: Int) = StandInSettings(
-        name = name,
-        incarnation = clock.wallMilliseconds(),
-        availabilityZone = example.availabilityZones[index % example.availabilityZones.size],
-        capacity = capacity,
-        entryAddresses = entries.map(EntryDaemon::address),
-    )
-
     private fun freePorts(count: Int): List<Int> {
         val sockets = List(count) { ServerSocket(0) }
         return sockets.map { socket -> socket.use { it.localPort } }
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/local/StandInFleet.kt
@@ -0,0 +1,60 @@
+package cassiaspindle.command.local
+
+import cassiaspindle.core.time.Clock
+import cassiaspindle.schema.PlainServiceDescription
+import cassiaspindle.standin.application.StandInApplication
+import cassiaspindle.standin.model.FleetRecorder
+import cassiaspindle.standin.runner.StandInRunner
+import cassiaspindle.standin.runner.StandInSettings
+import cassiaspindle.transport.http.client.AnnouncementClient
+import io.ktor.client.HttpClient
+
+private const val APPLICATIONS = 2
+private const val CAPACITY = 256
+
+/** The stand-ins of an example, which announce themselves at [entryAddresses]. */
+class StandInFleet(
+    private val example: Example,
+    http: HttpClient,
+    backEndKey: String,
+    private val entryAddresses: List<String>,
+) {
+    private val announcements = AnnouncementClient(http, backEndKey)
+
+    /** What the stand-ins have run. */
+    val recorder = FleetRecorder()
+
+    /** The runners. */
+    val runners: List<StandInRunner> = example.runners.mapIndexed { index, description ->
+        StandInRunner(settings("runner-$index", index), description, recorder, announcements)
+    }
+
+    /** The plain services. */
+    val applications: List<StandInApplication> = (0 until APPLICATIONS).map { index ->
+        val description = PlainServiceDescription(example.application, example.calls)
+        StandInApplication(settings("${example.application}-$index", index), description, recorder, announcements)
+    }
+
+    /** Number of backend servers. */
+    val size: Int get() = runners.size + applications.size
+
+    /** Begins to announce. */
+    fun start() {
+        runners.forEach(StandInRunner::start)
+        applications.forEach(StandInApplication::start)
+    }
+
+    /** Ends without notice. */
+    fun close() {
+        runners.forEach(StandInRunner::close)
+        applications.forEach(StandInApplication::close)
+    }
+
+    private fun settings(name: String, index: Int) = StandInSettings(
+        name = name,
+        incarnation = Clock.system.wallMilliseconds(),
+        availabilityZone = example.availabilityZones[index % example.availabilityZones.size],
+        capacity = CAPACITY,
+        entryAddresses = entryAddresses,
+    )
+}
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/HistoryMeasures.kt
@@ -0,0 +1,43 @@
+package cassiaspindle.command.measure
+
+import cassiaspindle.history.control.ControlHistory
+import cassiaspindle.history.request.RequestHistory
+
+private const val ROWS_EVERY = 1_000L
+
+/** Random histories of control replicas, from the seed on; none may break a promise. */
+internal fun measureControlHistories(options: MeasureOptions, print: RowPrinter): MeasureResult =
+    countBroken(options, print) { seed ->
+        val result = ControlHistory(seed).run()
+        HistoryCounts(result.violations, result.dispatchedOrders + result.acceptedDocuments)
+    }
+
+/** Random histories of requests, from the seed on; none may break a promise. */
+internal fun measureRequestHistories(options: MeasureOptions, print: RowPrinter): MeasureResult =
+    countBroken(options, print) { seed ->
+        val result = RequestHistory(seed).run()
+        HistoryCounts(result.violations, result.answers)
+    }
+
+private fun countBroken(
+    options: MeasureOptions,
+    print: RowPrinter,
+    run: (seed: Long) -> HistoryCounts,
+): MeasureResult {
+    var broken = 0
+    var promises = 0L
+    for (seed in options.seed until options.seed + options.histories) {
+        val counts = run(seed)
+        promises += counts.promises
+        if (counts.violations.isNotEmpty()) {
+            broken++
+            print("seed=$seed violation=\"${counts.violations.first()}\"")
+        }
+        val done = seed - options.seed + 1
+        if (done % ROWS_EVERY == 0L) print("histories=$done promises=$promises broken=$broken")
+    }
+    print("histories=${options.histories} first_seed=${options.seed} promises=$promises broken=$broken")
+    return MeasureResult.atMost(broken.toDouble(), "histories", bound = 0.0)
+}
+
+private data class HistoryCounts(val violations: List<String>, val promises: Int)
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/Measure.kt
@@ -0,0 +1,45 @@
+package cassiaspindle.command.measure
+
+/** Options that measurements take. */
+data class MeasureOptions(
+    val seed: Long,
+    val histories: Long,
+    val runners: Int,
+)
+
+/** What a measurement found, against a bound that comes from the stated target. */
+data class MeasureResult(
+    val value: Double,
+    val unit: String,
+    val bound: Double,
+    val holds: Boolean,
+) {
+    /** Results. */
+    companion object {
+        /** A value that may be at most [bound]. */
+        fun atMost(value: Double, unit: String, bound: Double) = MeasureResult(value, unit, bound, value <= bound)
+    }
+}
+
+/** Prints one row of key=value pairs. */
+typealias RowPrinter = (String) -> Unit
+
+/** A small experiment on the real code. */
+data class Measure(
+    val name: String,
+    val description: String,
+    val run: (MeasureOptions, RowPrinter) -> MeasureResult,
+)
+
+/** All measurements, in the order in which they are listed. */
+internal val measures: List<Measure> = listOf(
+    Measure("control-histories", "violations in random histories of control replicas", ::measureControlHistories),
+    Measure("request-histories", "violations in random histories of requests", ::measureRequestHistories),
+    Measure("token-cost", "time that is added between two tokens, 95 in 100", ::measureTokenCost),
+    Measure("first-token-cost", "time that is added before the first token, 95 in 100", ::measureFirstTokenCost),
+    Measure("order-rate", "orders a second and syncs an order with 1, 16 and 256 callers", ::measureOrderRate),
+    Measure("control-failover", "time to the next committed document after the leader is lost", ::measureFailover),
+    Measure("document-in-force", "time until a document is in force everywhere", ::measureInForce),
+    Measure("control-restart", "start of a control replica with 10,000 changes behind it", ::measureRestart),
+    Measure("routing-cost", "time of one chain decision", ::measureRoutingCost),
+)
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/MeasuredSystem.kt
@@ -0,0 +1,33 @@
+package cassiaspindle.command.measure
+
+import cassiaspindle.command.local.Example
+import cassiaspindle.command.local.LocalSystem
+import cassiaspindle.transport.http.client.CallerClient
+import cassiaspindle.transport.http.client.newHttpClient
+import com.github.michaelbull.result.getOrThrow
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.runBlocking
+import kotlin.random.Random
+
+private const val DEADLINE_MILLISECONDS = 30_000L
+
+/** A local system that is measured, with a caller of its account. */
+internal data class MeasuredSystem(val system: LocalSystem, val example: Example, val caller: CallerClient)
+
+/** Runs [work] on a local system whose stand-ins take no time for their layers. */
+internal fun <Value> onMeasuredSystem(options: MeasureOptions, work: suspend (MeasuredSystem) -> Value): Value {
+    val named = checkNotNull(Example.named("hooghly"))
+    val example = named.copy(runners = named.runners.map { it.copy(layerMicroseconds = 0) })
+    val random = Random(options.seed)
+    val system = LocalSystem(example, { random.nextInt(it) })
+    val http = newHttpClient()
+    return try {
+        runBlocking(Dispatchers.Default) {
+            system.start().getOrThrow { IllegalStateException(it.toString()) }
+            work(MeasuredSystem(system, example, CallerClient(http, example.accountKey, DEADLINE_MILLISECONDS)))
+        }
+    } finally {
+        http.close()
+        system.close()
+    }
+}
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/RestartMeasure.kt
@@ -0,0 +1,92 @@
+package cassiaspindle.command.measure
+
+import cassiaspindle.codec.Keys
+import cassiaspindle.core.time.Clock
+import cassiaspindle.daemon.control.ControlDaemon
+import cassiaspindle.daemon.control.ControlEnvironment
+import cassiaspindle.schema.CallStage
+import cassiaspindle.schema.ControlAddress
+import cassiaspindle.schema.ControlSettings
+import cassiaspindle.schema.KeyFiles
+import cassiaspindle.schema.ServiceDocument
+import cassiaspindle.schema.Stage
+import cassiaspindle.transport.http.client.OperatorClient
+import cassiaspindle.transport.http.client.newHttpClient
+import com.github.michaelbull.result.getOrThrow
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.random.Random
+
+private const val SERVICES = 100
+private const val RESTART_MILLISECONDS = 3_000.0
+private val CHANGES = listOf(1_000, 10_000)
+
+/** The time from the start of a lone control replica until it answers a read, after 1,000 and 10,000 changes. */
+internal fun measureRestart(options: MeasureOptions, print: RowPrinter): MeasureResult {
+    val folder = Files.createTempDirectory("cassiaspindle-restart")
+    val address = ControlAddress("control-0", "127.0.0.1:${freePort()}", "127.0.0.1:${freePort()}")
+    return newHttpClient().use { http ->
+        val operators = OperatorClient(http, listOf(address), KEYS.operator)
+        var applied = 0
+        val times = CHANGES.map { changes ->
+            start(folder, address, options).use { applyUpTo(operators, applied, changes) }
+            applied = changes
+            val began = Clock.system.monotonicMilliseconds()
+            start(folder, address, options).use { daemon ->
+                runBlocking { operators.show("service-0") }
+                val milliseconds = Clock.system.monotonicMilliseconds() - began
+                print("changes=$changes start_milliseconds=$milliseconds log_bytes=${daemon.logBytes}")
+                milliseconds
+            }
+        }
+        folder.toFile().deleteRecursively()
+        MeasureResult.atMost(times.last().toDouble(), "milliseconds", RESTART_MILLISECONDS)
+    }
+}
+
+private val KEYS = Keys("system", "operator", "backend")
+
+private fun applyUpTo(operators: OperatorClient, from: Int, changes: Int) = runBlocking(Dispatchers.Default) {
+    coroutineScope {
+        repeat(SERVICES) { service ->
+            launch {
+                for (version in from / SERVICES + 1..changes / SERVICES) {
+                    operators.apply(document(service, version)).getOrThrow { IllegalStateException(it.toString()) }
+                }
+            }
+        }
+    }
+}
+
+private fun document(service: Int, version: Int) = ServiceDocument(
+    service = "service-$service",
+    version = version.toLong(),
+    stages = listOf(Stage("explain", call = CallStage("line-app", "explain", repeatable = true))),
+    callers = emptyList(),
+)
+
+private fun start(folder: Path, address: ControlAddress, options: MeasureOptions): ControlDaemon {
+    val settings = ControlSettings(
+        name = address.name,
+        availabilityZone = "howrah",
+        dataFolder = folder.toString(),
+        replicas = listOf(address),
+        keyFiles = KeyFiles("unused", "unused", "unused"),
+    )
+    val random = Random(options.seed)
+    val environment = ControlEnvironment(KEYS, Clock.system, { random.nextInt(it) }, onFatal = {})
+    return ControlDaemon.start(settings, environment).getOrThrow { IllegalStateException(it.toString()) }
+}
+
+private inline fun <Value> ControlDaemon.use(work: (ControlDaemon) -> Value): Value = try {
+    work(this)
+} finally {
+    close()
+}
+
+private fun freePort(): Int = ServerSocket(0).use { it.localPort }
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/RoutingMeasure.kt
@@ -0,0 +1,50 @@
+package cassiaspindle.command.measure
+
+import cassiaspindle.entry.membership.BackEndView
+import cassiaspindle.entry.routing.ChainQuestion
+import cassiaspindle.entry.routing.shortestChain
+import cassiaspindle.schema.BackEndAnnouncement
+import cassiaspindle.schema.ModelStage
+import cassiaspindle.schema.RunnerDescription
+import kotlin.random.Random
+
+private const val LAYERS = 48
+private const val PARTS = 6
+private const val CAPACITY = 32
+private const val DECISIONS = 4_000
+private const val NANOSECONDS_PER_MICROSECOND = 1_000.0
+private val FLEETS = listOf(40, 150, 600)
+
+/** 1,100 requests a second over 340 entry VMs, each deciding once in its 2.1% of a core: 6.5 ms a decision. */
+private const val DECISION_MICROSECONDS = 6_500.0
+
+/** The time of one chain decision among 40, 150 and 600 runners of one model. */
+internal fun measureRoutingCost(options: MeasureOptions, print: RowPrinter): MeasureResult {
+    val times = (FLEETS + options.runners).distinct().filter { it > 0 }.sorted().map { runners ->
+        val random = Random(options.seed)
+        val fleet = List(runners) { runner(it, random) }
+        decide(fleet, random)
+        val microseconds = decide(fleet, random)
+        print("runners=$runners decision_microseconds=%.1f".format(microseconds))
+        microseconds
+    }
+    return MeasureResult.atMost(times.last(), "microseconds", DECISION_MICROSECONDS)
+}
+
+/** Mean time of a decision, in microseconds. */
+private fun decide(fleet: List<BackEndView>, random: Random): Double {
+    val question = ChainQuestion(ModelStage("model", "v1", LAYERS), fleet, "zone-0", { random.nextInt(it) })
+    val began = System.nanoTime()
+    val found = (1..DECISIONS).count { shortestChain(question) != null }
+    check(found == DECISIONS) { "the fleet does not cover the layers" }
+    return (System.nanoTime() - began) / NANOSECONDS_PER_MICROSECOND / DECISIONS
+}
+
+private fun runner(index: Int, random: Random): BackEndView {
+    val size = LAYERS / PARTS
+    val first = index % PARTS * size
+    val end = minOf(first + size + random.nextInt(size), LAYERS)
+    val description = RunnerDescription("kind-${index % PARTS}", "model", "v1", first, end, layerMicroseconds = 100)
+    val announcement = BackEndAnnouncement("runner-$index", 1, "runner:1", "zone-${index % 2}", CAPACITY, description)
+    return BackEndView(announcement, random.nextInt(CAPACITY), reportedLoad = 0)
+}
--- a/command/src/test/kotlin/cassiaspindle/command/local/LocalSystemTest.kt
+++ b/command/src/test/kotlin/cassiaspindle/command/local/LocalSystemTest.kt
@@ -83,7 +83,8 @@
         val address = system.entries.first().address
         stranger.request(address, example.readService, ServiceRequest("status")).getError()?.code shouldBe
             ResultCode.UNAUTHENTICATED
-        caller.request(address, "nothing", ServiceRequest("status")).getError()?.code shouldBe ResultCode.UNKNOWN_SERVICE
+        caller.request(address, "nothing", ServiceRequest("status")).getError()?.code shouldBe
+            ResultCode.UNKNOWN_SERVICE
         caller.request(address, example.orderService, ServiceRequest("order")).getError()?.code shouldBe
             ResultCode.ORDER_EXPECTED
     }
@@ -92,7 +93,9 @@
     private suspend fun streams(system: LocalSystem, disturb: () -> Unit): List<Boolean> {
         val begun = CompletableDeferred<Unit>()
         return coroutineScope {
-            val running = List(STREAMS) { index -> async { stream(system.entries.first(), index) { begun.complete(Unit) } } }
+            val running = List(STREAMS) { index ->
+                async { stream(system.entries.first(), index) { begun.complete(Unit) } }
+            }
             begun.await()
             disturb()
             running.awaitAll()
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -31,6 +31,7 @@
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.map
 import io.ktor.network.selector.SelectorManager
+import io.micrometer.core.instrument.Gauge
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -104,6 +105,20 @@
         HttpFrontEnd.start(address.host, address.port, metrics) { controlRoutes(operators.frontEnd()) }
     }
 
+    /** Whether this replica leads the group of the service documents. */
+    val leadsDocuments: Boolean get() = performer.node?.reads?.canReadDocuments(performer.now()) ?: false
+
+    /** Syncs of the log so far. */
+    val syncs: Long get() = writer.syncs
+
+    /** Length of the log in bytes. */
+    val logBytes: Long get() = writer.lengthBytes
+
+    init {
+        Gauge.builder("cassiaspindle.log.syncs", writer) { it.syncs.toDouble() }.register(metrics.registry)
+        Gauge.builder("cassiaspindle.log.bytes", writer) { it.lengthBytes.toDouble() }.register(metrics.registry)
+    }
+
     /** Stops after everything queued is durable. */
     fun close() {
         timer.shutdownNow()
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/DurableWriter.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/DurableWriter.kt
@@ -11,6 +11,7 @@
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.fold
 import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
 /** Size that the log file gains before it is rewritten, in bytes. */
@@ -33,8 +34,15 @@
  */
 class DurableWriter(private val log: DurableLog, private val handlers: DurableHandlers) {
     private val queue = LinkedBlockingQueue<Item>()
+    private val syncCount = AtomicLong()
     private val writer = thread(name = "durable-writer", isDaemon = true, start = false) { writeAll() }
 
+    /** Syncs of the log so far. */
+    val syncs: Long get() = syncCount.get()
+
+    /** Length of the log in bytes. */
+    val lengthBytes: Long get() = log.length
+
     /** Starts the thread. */
     fun start() = writer.start()
 
@@ -67,10 +75,13 @@
         }
     }
 
-    private fun write(work: List<Item.Work>): Result<Unit, Failure> =
-        log.append(work.flatMap { it.work.records }).flatMap {
+    private fun write(work: List<Item.Work>): Result<Unit, Failure> {
+        val records = work.flatMap { it.work.records }
+        if (records.isNotEmpty()) syncCount.incrementAndGet()
+        return log.append(records).flatMap {
             if (log.bytesSinceRewrite > REWRITE_AFTER_BYTES) log.rewrite(recordsOf(handlers.images())) else Ok(Unit)
         }
+    }
 
     private fun recordsOf(images: List<GroupImage>): List<LogRecord> = images.flatMapIndexed { group, image ->
         listOf(
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/membership/BackEndRegistry.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/membership/BackEndRegistry.kt
@@ -54,7 +54,9 @@
      */
     fun suspect(name: String, nowMilliseconds: Long) {
         shards.withKey(name) { backEnds ->
-            backEnds.computeIfPresent(name) { _, known -> known.copy(suspicion = known.suspicion.again(nowMilliseconds)) }
+            backEnds.computeIfPresent(name) { _, known ->
+                known.copy(suspicion = known.suspicion.again(nowMilliseconds))
+            }
         }
     }
 
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/request/ModelStageDriver.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/request/ModelStageDriver.kt
@@ -1,8 +1,6 @@
 package cassiaspindle.entry.request
 
 import cassiaspindle.entry.membership.BackEndView
-import cassiaspindle.entry.routing.Chain
-import cassiaspindle.entry.routing.ChainQuestion
 import cassiaspindle.schema.ModelStage
 import cassiaspindle.schema.StepResult
 import cassiaspindle.schema.TokenEvent
@@ -14,9 +12,7 @@
     private val progress: RequestProgress,
 ) {
     private var run: ModelStageRun? = null
-
-    /** Runners that failed this request; it goes back to them only where nothing else is left. */
-    private val failed = mutableSetOf<String>()
+    private val chains = ChainFinder(context)
 
     /** Whether an attempt is under way. */
     val isRunning: Boolean get() = run?.isRunning == true
@@ -31,8 +27,7 @@
 
     /** Starts an attempt; false where no chain has room. */
     fun place(stage: ModelStage, input: String, candidates: List<BackEndView>): Boolean {
-        val fresh = candidates.filter { it.name !in failed }
-        val chain = choose(stage, fresh) ?: choose(stage, candidates) ?: return false
+        val chain = chains.find(stage, candidates) ?: return false
         val current = run ?: ModelStageRun(plan, stage, input).also { run = it }
         current.begin(chain, progress.nextAttempt())
         current.backEnds.forEach { context.steps.add(RequestStep.Occupy(it.name, 1)) }
@@ -67,7 +62,7 @@
     fun backEndLost(backEnd: String, nowMilliseconds: Long): StageAdvance {
         if (!uses(backEnd)) return StageAdvance.GoesOn
         progress.progressMilliseconds = nowMilliseconds
-        failed += backEnd
+        chains.avoid(backEnd)
         context.steps.add(RequestStep.Suspect(backEnd))
         return placeAgain()
     }
@@ -83,10 +78,6 @@
         }
     }
 
-    private fun choose(stage: ModelStage, candidates: List<BackEndView>): Chain? = context.policies.chain(
-        ChainQuestion(stage, candidates, context.identity.availabilityZone, context.policies.random),
-    )
-
     private fun finish(current: ModelStageRun): StageAdvance {
         current.backEnds.forEach { context.steps.add(RequestStep.Prove(it.name)) }
         abandon()
