--- a/codec/src/main/kotlin/cassiaspindle/codec/SettingsReader.kt
+++ b/codec/src/main/kotlin/cassiaspindle/codec/SettingsReader.kt
@@ -2,16 +2,21 @@
 
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.LogLevel
 import cassiaspindle.schema.ServiceDocument
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 
+private val LOG_LEVEL_MEMBER = Regex(""""logLevel"\s*:\s*"([A-Z]+)"""")
+
 /** Reads settings, keys and service documents and checks them against the schema. */
 object SettingsReader {
     /** Reads the settings file at [path]; [ResultCode.SETTINGS_MISSING] or [ResultCode.SETTINGS_INVALID]. */
@@ -27,6 +32,16 @@
         if (key.isEmpty()) Err(Failure(ResultCode.SETTINGS_MISSING, "$path: the key is empty")) else Ok(key)
     }
 
+    /**
+     * The log level that the settings file at [path] asks for, [LogLevel.INFO] where it can't be read.
+     *
+     * It is read before the schema check, because the check logs and the level can't change after the first event.
+     */
+    fun logLevel(path: Path): LogLevel = text(path)
+        .map { LOG_LEVEL_MEMBER.find(it)?.groupValues?.get(1) }
+        .map { name -> LogLevel.entries.firstOrNull { it.name == name } }
+        .get() ?: LogLevel.INFO
+
     /** The content of the file at [path]. */
     fun text(path: Path): Result<String, Failure> = try {
         Ok(Files.readString(path))
--- a/codec/src/test/kotlin/cassiaspindle/codec/SettingsReaderTest.kt
+++ b/codec/src/test/kotlin/cassiaspindle/codec/SettingsReaderTest.kt
@@ -2,12 +2,14 @@
 
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.schema.EntrySettings
+import cassiaspindle.schema.LogLevel
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import java.nio.file.Files
 import java.nio.file.Path
 
 class SettingsReaderTest : AnnotationSpec() {
@@ -42,6 +44,17 @@
         }
     }
 
+    @Test
+    fun `the log level is found without the schema check`() {
+        val file = Files.createTempFile("settings", ".json")
+        val levels = mapOf(good to LogLevel.INFO, good.replace("{\"name\"", "{\"logLevel\" : \"DEBUG\", \"name\"") to LogLevel.DEBUG)
+        for ((text, level) in levels) {
+            Files.writeString(file, text)
+            SettingsReader.logLevel(file) shouldBe level
+        }
+        SettingsReader.logLevel(Path.of("no-such-file.json")) shouldBe LogLevel.INFO
+    }
+
     @Test
     fun `a missing file gives its name and the code`() {
         val failure = SettingsReader.read<EntrySettings>(Path.of("no-such-file.json")).getError().shouldNotBeNull()
--- a/command/src/main/kotlin/cassiaspindle/command/Main.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/Main.kt
@@ -2,6 +2,7 @@
 
 import cassiaspindle.command.daemon.ControlCommand
 import cassiaspindle.command.daemon.EntryCommand
+import cassiaspindle.command.load.LoadCommand
 import cassiaspindle.command.local.LocalCommand
 import cassiaspindle.command.measure.MeasureCommand
 import cassiaspindle.command.operator.DocumentCommand
@@ -39,6 +40,7 @@
         OrdersCommand(outcome),
         DrainCommand(outcome),
         MeasureCommand(outcome),
+        LoadCommand(outcome),
     )
     commands.forEach { parser.subcommands(it) }
     endUsageErrorsWith(parser, ExitStatus.USAGE)
--- a/command/src/main/kotlin/cassiaspindle/command/daemon/DaemonCommands.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/daemon/DaemonCommands.kt
@@ -13,7 +13,6 @@
 import cassiaspindle.daemon.entry.EntryEnvironment
 import cassiaspindle.schema.ControlSettings
 import cassiaspindle.schema.EntrySettings
-import cassiaspindle.schema.LogLevel
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.onSuccess
@@ -36,8 +35,8 @@
     private val settings by option(ArgType.String, "settings", description = "Settings file").required()
 
     override fun execute() {
+        useLogLevel(settings)
         val started = SettingsReader.read<EntrySettings>(Path.of(settings)).flatMap { read ->
-            useLogLevel(read.logLevel)
             Keys.read(read.keyFiles).map { keys ->
                 EntryDaemon(read, EntryEnvironment(keys, Clock.system, secureRandom()))
             }
@@ -64,8 +63,8 @@
     private val settings by option(ArgType.String, "settings", description = "Settings file").required()
 
     override fun execute() {
+        useLogLevel(settings)
         val started = SettingsReader.read<ControlSettings>(Path.of(settings)).flatMap { read ->
-            useLogLevel(read.logLevel)
             Keys.read(read.keyFiles).flatMap { keys ->
                 ControlDaemon.start(read, ControlEnvironment(keys, Clock.system, secureRandom(), ::stopAtOnce))
             }
@@ -94,6 +93,7 @@
     stopped.await()
 }
 
-private fun useLogLevel(level: LogLevel?) = Configuration.set("level", (level ?: LogLevel.INFO).name.lowercase())
+private fun useLogLevel(settings: String) =
+    Configuration.set("level", SettingsReader.logLevel(Path.of(settings)).name.lowercase())
 
 private fun secureRandom(): RandomSource = SecureRandom().let { source -> { bound -> source.nextInt(bound) } }
--- a/command/src/main/kotlin/cassiaspindle/command/local/LocalRun.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LocalRun.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.command.local
 
+import cassiaspindle.core.concurrency.seededRandom
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.daemon.entry.EntryDaemon
@@ -10,16 +11,14 @@
 import com.github.michaelbull.result.flatMap
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
-import kotlin.random.Random
 
 /** Brings up an example, runs a load against it, and counts the outcome at the stand-ins. */
 internal class LocalRun(private val options: LoadOptions, private val print: (String) -> Unit) {
     private val example = options.example
-    private val random = Random(options.seed)
 
     /** Runs the example; [ResultCode.LOCAL_RUN_FAILED] where anything was not as it must be. */
     fun run(): Result<Unit, Failure> {
-        val system = LocalSystem(example, { bound -> random.nextInt(bound) })
+        val system = LocalSystem(example, seededRandom(options.seed.toLong()))
         return try {
             runBlocking(Dispatchers.Default) { system.start().flatMap { load(system) } }
         } finally {
--- a/command/src/main/kotlin/cassiaspindle/command/measure/ControlMeasures.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/ControlMeasures.kt
@@ -56,12 +56,14 @@
     }
 
 private suspend fun placeOrders(measured: MeasuredSystem, callers: Int, count: Int): OrderRate {
-    val random = Random(count)
     val left = AtomicInteger(count)
     val syncs = syncs(measured)
     val milliseconds = timed {
         coroutineScope {
-            repeat(callers) { launch { while (left.getAndDecrement() > 0) placeOrder(measured, random) } }
+            repeat(callers) { index ->
+                val own = Random(index + count * CALLERS.last())
+                launch { while (left.getAndDecrement() > 0) placeOrder(measured, own) }
+            }
         }
     }
     val orders = count.toDouble()
--- a/command/src/main/kotlin/cassiaspindle/command/measure/MeasuredSystem.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/MeasuredSystem.kt
@@ -2,12 +2,12 @@
 
 import cassiaspindle.command.local.Example
 import cassiaspindle.command.local.LocalSystem
+import cassiaspindle.core.concurrency.seededRandom
 import cassiaspindle.transport.http.client.CallerClient
 import cassiaspindle.transport.http.client.newHttpClient
 import com.github.michaelbull.result.getOrThrow
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
-import kotlin.random.Random
 
 private const val DEADLINE_MILLISECONDS = 30_000L
 
@@ -18,8 +18,7 @@
 internal fun <Value> onMeasuredSystem(options: MeasureOptions, work: suspend (MeasuredSystem) -> Value): Value {
     val named = checkNotNull(Example.named("hooghly"))
     val example = named.copy(runners = named.runners.map { it.copy(layerMicroseconds = 0) })
-    val random = Random(options.seed)
-    val system = LocalSystem(example, { random.nextInt(it) })
+    val system = LocalSystem(example, seededRandom(options.seed))
     val http = newHttpClient()
     return try {
         runBlocking(Dispatchers.Default) {
--- a/command/src/main/kotlin/cassiaspindle/command/measure/RestartMeasure.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/RestartMeasure.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.command.measure
 
 import cassiaspindle.codec.Keys
+import cassiaspindle.core.concurrency.seededRandom
 import cassiaspindle.core.time.Clock
 import cassiaspindle.daemon.control.ControlDaemon
 import cassiaspindle.daemon.control.ControlEnvironment
@@ -20,7 +21,6 @@
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
-import kotlin.random.Random
 
 private const val SERVICES = 100
 private const val RESTART_MILLISECONDS = 3_000.0
@@ -78,8 +78,7 @@
         replicas = listOf(address),
         keyFiles = KeyFiles("unused", "unused", "unused"),
     )
-    val random = Random(options.seed)
-    val environment = ControlEnvironment(KEYS, Clock.system, { random.nextInt(it) }, onFatal = {})
+    val environment = ControlEnvironment(KEYS, Clock.system, seededRandom(options.seed), onFatal = {})
     return ControlDaemon.start(settings, environment).getOrThrow { IllegalStateException(it.toString()) }
 }
 
--- a/command/src/main/kotlin/cassiaspindle/command/operator/SettingsCommand.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/operator/SettingsCommand.kt
@@ -22,7 +22,7 @@
 internal class SettingsCommand(outcome: CommandOutcomeHolder) : ProgramCommand(
     "settings",
     "Check settings and service documents",
-    listOf(SettingsCheckCommand(outcome)),
+    listOf(SettingsCheckCommand(outcome), SettingsExampleCommand(outcome)),
 )
 
 /** `settings check`: checks a file without using it. */
--- a/command/src/test/kotlin/cassiaspindle/command/local/LocalSystemTest.kt
+++ b/command/src/test/kotlin/cassiaspindle/command/local/LocalSystemTest.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.command.local
 
+import cassiaspindle.core.concurrency.seededRandom
 import cassiaspindle.core.identity.OrderKey
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
@@ -125,7 +126,7 @@
     }
 
     private fun withSystem(test: suspend (LocalSystem) -> Unit) {
-        val system = LocalSystem(example, { random.nextInt(it) }) { it.copy(discoveryLifetimeMilliseconds = 300) }
+        val system = LocalSystem(example, seededRandom(SEED.toLong())) { it.copy(discoveryLifetimeMilliseconds = 300) }
         try {
             runBlocking(Dispatchers.Default) {
                 system.start().getOrThrow { IllegalStateException(it.toString()) }
--- a/core/src/main/kotlin/cassiaspindle/core/concurrency/RandomSource.kt
+++ b/core/src/main/kotlin/cassiaspindle/core/concurrency/RandomSource.kt
@@ -1,4 +1,9 @@
 package cassiaspindle.core.concurrency
 
+import java.util.Random
+
 /** Gives a number from 0 until the bound; handed in so that one seed gives one trace. */
 typealias RandomSource = (bound: Int) -> Int
+
+/** A source with [seed] that several threads may use. */
+fun seededRandom(seed: Long): RandomSource = Random(seed).let { random -> { bound -> random.nextInt(bound) } }
--- a/daemon/control/src/test/kotlin/cassiaspindle/daemon/control/ControlDaemonTest.kt
+++ b/daemon/control/src/test/kotlin/cassiaspindle/daemon/control/ControlDaemonTest.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.daemon.control
 
 import cassiaspindle.codec.Keys
+import cassiaspindle.core.concurrency.seededRandom
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.core.time.Clock
 import cassiaspindle.schema.CallStage
@@ -19,7 +20,6 @@
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
-import kotlin.random.Random
 
 class ControlDaemonTest : AnnotationSpec() {
     private val keys = Keys("system", "operator", "backend")
@@ -77,8 +77,7 @@
             keyFiles = KeyFiles("unused", "unused", "unused"),
             electionTimeoutMilliseconds = 300,
         )
-        val random = Random(name.hashCode())
-        val environment = ControlEnvironment(keys, Clock.system, { random.nextInt(it) }, onFatal = {})
+        val environment = ControlEnvironment(keys, Clock.system, seededRandom(name.hashCode().toLong()), onFatal = {})
         return ControlDaemon.start(settings, environment).get().shouldNotBeNull()
     }
 
--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/ControlLink.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/ControlLink.kt
@@ -28,6 +28,7 @@
 
 private const val REPLY_MILLISECONDS = 500L
 private const val RETRY_MILLISECONDS = 40
+private const val LEADER_BUCKETS = 64
 
 /** Connections of an entry VM to the control replicas. */
 internal class ControlLink(
@@ -40,6 +41,9 @@
         PeerClient(it.name, HostAndPort.parse(it.peerAddress), settings, selector, ::heard)
     }
     private val waiting = ConcurrentHashMap<Long, CompletableDeferred<PeerFrame>>()
+
+    /** The leaders that answered last, by a hash of the order: orders of one ledger group have one leader. */
+    private val leaders = ConcurrentHashMap<Int, String>()
     private val nextCorrelation = AtomicLong()
     private val nextClient = AtomicInteger()
 
@@ -51,22 +55,40 @@
     }
 
     /** Has [command] decided; tries again, with the same content, until a leader has answered. */
-    suspend fun submit(command: ControlCommand): CommandOutcome =
-        askUntilAnswered { PeerFrame(PeerFrameKind.COMMAND, correlation = it, command = command) }
+    suspend fun submit(command: ControlCommand): CommandOutcome {
+        val name = command.intent?.name ?: command.resolution?.name
+        return askUntilAnswered(name) { PeerFrame(PeerFrameKind.COMMAND, correlation = it, command = command) }
+    }
 
     /** Reads an order, or gives null where no leader answers within [timeoutMilliseconds]. */
     suspend fun readOrder(name: OrderName, timeoutMilliseconds: Long): CommandOutcome? =
         withTimeoutOrNull(timeoutMilliseconds) {
-            askUntilAnswered { PeerFrame(PeerFrameKind.READ_ORDER, correlation = it, orderName = name) }
+            askUntilAnswered(name) { PeerFrame(PeerFrameKind.READ_ORDER, correlation = it, orderName = name) }
         }
 
-    private suspend fun askUntilAnswered(frame: (correlation: Long) -> PeerFrame): CommandOutcome {
-        var leader: String? = null
+    private suspend fun askUntilAnswered(
+        name: OrderName?,
+        frame: (correlation: Long) -> PeerFrame,
+    ): CommandOutcome {
+        val bucket = name.hashCode().mod(LEADER_BUCKETS)
         val schedule = Schedule.spaced<String?>(RETRY_MILLISECONDS.milliseconds).jittered()
-        val answered = schedule.retryEither { askOnce(leader, frame).onLeft { leader = it } }
+        val answered = schedule.retryEither { askKnownLeader(bucket, frame) }
         return answered.getOrNull() ?: CommandOutcome(ResultCode.CONTROL_UNREACHABLE.number)
     }
 
+    /** Asks the leader that answered last, and at once the one that it names instead. */
+    private suspend fun askKnownLeader(
+        bucket: Int,
+        frame: (correlation: Long) -> PeerFrame,
+    ): Either<String?, CommandOutcome> {
+        val known = leaders[bucket]
+        val first = askOnce(known, frame)
+        val named = first.leftOrNull()
+        val answer = if (named != null && named != known) askOnce(named, frame) else first
+        if (answer.isLeft()) leaders.remove(bucket) else named?.let { leaders[bucket] = it }
+        return answer
+    }
+
     /** Asks one replica; the left side names the leader where it is known to be another. */
     private suspend fun askOnce(
         leader: String?,
