Test bad input on every HTTP interface and add small builders

Cause: back-end and operator interfaces had no table of bad input, construction had no builders, and bytes between own processes were not counted. Change: tables for both interfaces, serviceDocument and announcement builders, a counter of bytes sent to own processes, measurements split by subject, one place for free ports. Figures: 13 bad back-end messages and 13 bad operator messages each get their code and change nothing. Conclusion: the interfaces of the path are covered.

--- a/codec/src/test/kotlin/cassiaspindle/codec/SettingsReaderTest.kt
+++ b/codec/src/test/kotlin/cassiaspindle/codec/SettingsReaderTest.kt
@@ -47,7 +47,10 @@
     @Test
     fun `the log level is found without the schema check`() {
         val file = Files.createTempFile("settings", ".json")
-        val levels = mapOf(good to LogLevel.INFO, good.replace("{\"name\"", "{\"logLevel\" : \"DEBUG\", \"name\"") to LogLevel.DEBUG)
+        val levels = mapOf(
+            good to LogLevel.INFO,
+            good.replace("{\"name\"", "{\"logLevel\" : \"DEBUG\", \"name\"") to LogLevel.DEBUG
+        )
         for ((text, level) in levels) {
             Files.writeString(file, text)
             SettingsReader.logLevel(file) shouldBe level
--- a/command/src/main/kotlin/cassiaspindle/command/local/LoadRun.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LoadRun.kt
@@ -113,7 +113,9 @@
         val isOnce = runs == 1 && first.get()?.output == expected && again.get()?.output == expected
         counts.order(isOnce, isNotRun = isNotRun(first) && isNotRun(again), runs)
         val outcomes = "${describe(first)} resent_${describe(again)}"
-        print("order=${example.orderService} $outcomes runs=$runs milliseconds=${clock.monotonicMilliseconds() - begun}")
+        print(
+            "order=${example.orderService} $outcomes runs=$runs milliseconds=${clock.monotonicMilliseconds() - begun}"
+        )
     }
 
     private fun isNotRun(result: Result<ServiceAnswer, Failure>): Boolean =
--- a/command/src/main/kotlin/cassiaspindle/command/local/LocalSystem.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/LocalSystem.kt
@@ -25,7 +25,6 @@
 import com.github.michaelbull.result.getOrThrow
 import kotlinx.coroutines.delay
 import org.tinylog.kotlin.Logger
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -128,9 +127,4 @@
         )
         return EntryDaemon(adjust(settings), EntryEnvironment(keys, clock, random))
     }
-
-    private fun freePorts(count: Int): List<Int> {
-        val sockets = List(count) { ServerSocket(0) }
-        return sockets.map { socket -> socket.use { it.localPort } }
-    }
 }
--- a/command/src/main/kotlin/cassiaspindle/command/measure/MeasureCommand.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/MeasureCommand.kt
@@ -26,7 +26,9 @@
         val measure = measures.firstOrNull { it.name == chosen }
         when {
             chosen == "list" -> measures.forEach { println("measure=${it.name} description=\"${it.description}\"") }
-            measure == null -> outcome.take(Err(Failure(ResultCode.SETTINGS_INVALID, "no measurement is named $chosen")))
+            measure == null -> outcome.take(
+                Err(Failure(ResultCode.SETTINGS_INVALID, "no measurement is named $chosen"))
+            )
             else -> run(measure)
         }
     }
--- /dev/null
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/OrderMeasure.kt
@@ -0,0 +1,61 @@
+package cassiaspindle.command.measure
+
+import cassiaspindle.core.identity.OrderKey
+import cassiaspindle.core.time.Clock
+import cassiaspindle.daemon.control.ControlDaemon
+import cassiaspindle.schema.ServiceRequest
+import com.github.michaelbull.result.getOrThrow
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+private const val WARM_UP_ORDERS = 200
+private const val ORDERS_PER_CALLER = 20
+private const val FEWEST_ORDERS = 120
+private const val ONE_CALLER = 1
+private const val MEDIUM_CALLERS = 16
+private const val MANY_CALLERS = 256
+private const val MILLISECONDS_PER_SECOND = 1_000.0
+
+/** Orders a second through the whole path, and how many orders share a sync; the sharing has to show. */
+internal fun measureOrderRate(options: MeasureOptions, print: RowPrinter): MeasureResult =
+    onMeasuredSystem(options) { measured ->
+        placeOrders(measured, MEDIUM_CALLERS, WARM_UP_ORDERS)
+        val rates = listOf(ONE_CALLER, MEDIUM_CALLERS, MANY_CALLERS).map { callers ->
+            val count = maxOf(FEWEST_ORDERS, callers * ORDERS_PER_CALLER)
+            placeOrders(measured, callers, count).also { print(it.row()) }
+        }
+        val value = rates.last().syncsPerOrder
+        MeasureResult.atMost(value, "syncs_an_order_and_replica", bound = rates.first().syncsPerOrder / 2)
+    }
+
+private suspend fun placeOrders(measured: MeasuredSystem, callers: Int, count: Int): OrderRate {
+    val left = AtomicInteger(count)
+    val syncs = syncs(measured)
+    val milliseconds = timed {
+        coroutineScope {
+            repeat(callers) { index ->
+                val own = Random(index + count * MANY_CALLERS)
+                launch { while (left.getAndDecrement() > 0) placeOrder(measured, own) }
+            }
+        }
+    }
+    val orders = count.toDouble()
+    val perOrder = (syncs(measured) - syncs) / orders / measured.system.controls.size
+    return OrderRate(callers, orders * MILLISECONDS_PER_SECOND / milliseconds, perOrder)
+}
+
+private suspend fun placeOrder(measured: MeasuredSystem, random: Random) {
+    val entry = measured.system.entries[random.nextInt(measured.system.entries.size)]
+    val key = OrderKey.of(Clock.system.wallMilliseconds(), random.nextInt(), random.nextLong())
+    measured.caller.order(entry.address, measured.example.orderService, key, ServiceRequest("order"))
+        .getOrThrow { IllegalStateException(it.toString()) }
+}
+
+private fun syncs(measured: MeasuredSystem): Long = measured.system.controls.values.sumOf(ControlDaemon::syncs)
+
+private data class OrderRate(val callers: Int, val ordersPerSecond: Double, val syncsPerOrder: Double) {
+    fun row(): String = "callers=%d orders_a_second=%.1f syncs_an_order_and_replica=%.3f"
+        .format(callers, ordersPerSecond, syncsPerOrder)
+}
--- a/command/src/main/kotlin/cassiaspindle/command/measure/RestartMeasure.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/RestartMeasure.kt
@@ -1,16 +1,15 @@
 package cassiaspindle.command.measure
 
 import cassiaspindle.codec.Keys
+import cassiaspindle.command.local.freePorts
+import cassiaspindle.core.builder.serviceDocument
 import cassiaspindle.core.concurrency.seededRandom
 import cassiaspindle.core.time.Clock
 import cassiaspindle.daemon.control.ControlDaemon
 import cassiaspindle.daemon.control.ControlEnvironment
-import cassiaspindle.schema.CallStage
 import cassiaspindle.schema.ControlAddress
 import cassiaspindle.schema.ControlSettings
 import cassiaspindle.schema.KeyFiles
-import cassiaspindle.schema.ServiceDocument
-import cassiaspindle.schema.Stage
 import cassiaspindle.transport.http.client.OperatorClient
 import cassiaspindle.transport.http.client.newHttpClient
 import com.github.michaelbull.result.getOrThrow
@@ -18,22 +17,23 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 
 private const val SERVICES = 100
 private const val RESTART_MILLISECONDS = 3_000.0
-private val CHANGES = listOf(1_000, 10_000)
+private const val FEW_CHANGES = 1_000
+private const val MANY_CHANGES = 10_000
 
 /** The time from the start of a lone control replica until it answers a read, after 1,000 and 10,000 changes. */
 internal fun measureRestart(options: MeasureOptions, print: RowPrinter): MeasureResult {
     val folder = Files.createTempDirectory("cassiaspindle-restart")
-    val address = ControlAddress("control-0", "127.0.0.1:${freePort()}", "127.0.0.1:${freePort()}")
+    val (peerPort, operatorPort) = freePorts(2)
+    val address = ControlAddress("control-0", "127.0.0.1:$peerPort", "127.0.0.1:$operatorPort")
     return newHttpClient().use { http ->
         val operators = OperatorClient(http, listOf(address), KEYS.operator)
         var applied = 0
-        val times = CHANGES.map { changes ->
+        val times = listOf(FEW_CHANGES, MANY_CHANGES).map { changes ->
             start(folder, address, options).use { applyUpTo(operators, applied, changes) }
             applied = changes
             val began = Clock.system.monotonicMilliseconds()
@@ -63,12 +63,9 @@
     }
 }
 
-private fun document(service: Int, version: Int) = ServiceDocument(
-    service = "service-$service",
-    version = version.toLong(),
-    stages = listOf(Stage("explain", call = CallStage("line-app", "explain", repeatable = true))),
-    callers = emptyList(),
-)
+private fun document(service: Int, version: Int) = serviceDocument("service-$service", version.toLong()) {
+    call("explain", application = "line-app")
+}
 
 private fun start(folder: Path, address: ControlAddress, options: MeasureOptions): ControlDaemon {
     val settings = ControlSettings(
@@ -87,5 +84,3 @@
 } finally {
     close()
 }
-
-private fun freePort(): Int = ServerSocket(0).use { it.localPort }
--- a/command/src/main/kotlin/cassiaspindle/command/measure/RoutingMeasure.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/RoutingMeasure.kt
@@ -13,14 +13,21 @@
 private const val CAPACITY = 32
 private const val DECISIONS = 4_000
 private const val NANOSECONDS_PER_MICROSECOND = 1_000.0
-private val FLEETS = listOf(40, 150, 600)
+private const val SMALL_FLEET = 40
+private const val MEDIUM_FLEET = 150
+private const val LARGE_FLEET = 600
 
 /** 1,100 requests a second over 340 entry VMs, each deciding once in its 2.1% of a core: 6.5 ms a decision. */
 private const val DECISION_MICROSECONDS = 6_500.0
 
 /** The time of one chain decision among 40, 150 and 600 runners of one model. */
 internal fun measureRoutingCost(options: MeasureOptions, print: RowPrinter): MeasureResult {
-    val times = (FLEETS + options.runners).distinct().filter { it > 0 }.sorted().map { runners ->
+    val times = listOf(
+        SMALL_FLEET,
+        MEDIUM_FLEET,
+        LARGE_FLEET,
+        options.runners
+    ).distinct().filter { it > 0 }.sorted().map { runners ->
         val random = Random(options.seed)
         val fleet = List(runners) { runner(it, random) }
         decide(fleet, random)
--- a/command/src/main/kotlin/cassiaspindle/command/operator/SettingsExampleCommand.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/operator/SettingsExampleCommand.kt
@@ -5,6 +5,7 @@
 import cassiaspindle.command.NestedCommand
 import cassiaspindle.command.local.Example
 import cassiaspindle.command.local.exampleDocument
+import cassiaspindle.command.local.freePorts
 import cassiaspindle.schema.ClientSettings
 import cassiaspindle.schema.ControlAddress
 import cassiaspindle.schema.ControlSettings
@@ -17,7 +18,6 @@
 import kotlinx.cli.required
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.serializer
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import java.security.SecureRandom
@@ -55,7 +55,7 @@
             val data = path.resolve("data-${replica.name}").toString()
             save(path, replica.name, serializer(), ControlSettings(replica.name, zone, data, replicas, keyFiles))
         }
-        (0 until entries).forEach { index ->
+        for (index in 0 until entries) {
             val zone = chosen.availabilityZones[index % chosen.availabilityZones.size]
             val address = "127.0.0.1:${ports.next()}"
             save(path, "entry-$index", serializer(), EntrySettings("entry-$index", zone, address, replicas, keyFiles))
@@ -78,9 +78,4 @@
         Files.writeString(file, encodeReadableJson(strategy, value) + "\n")
         println("file=$file")
     }
-
-    private fun freePorts(count: Int): List<Int> {
-        val sockets = List(count) { ServerSocket(0) }
-        return sockets.map { socket -> socket.use { it.localPort } }
-    }
 }
--- /dev/null
+++ b/core/src/main/kotlin/cassiaspindle/core/builder/AnnouncementBuilder.kt
@@ -0,0 +1,55 @@
+package cassiaspindle.core.builder
+
+import cassiaspindle.schema.BackEndAnnouncement
+import cassiaspindle.schema.CallDescription
+import cassiaspindle.schema.PlainServiceDescription
+import cassiaspindle.schema.RunnerDescription
+
+/**
+ * Builds the announcement of a backend server:
+ *
+ *     announcement("runner-1", incarnation = 1) {
+ *         capacity = 8
+ *         runner(RunnerDescription("large", "seam-llm", "v1", 0, 16))
+ *     }
+ */
+fun announcement(name: String, incarnation: Long, build: AnnouncementBuilder.() -> Unit): BackEndAnnouncement =
+    AnnouncementBuilder(name, incarnation).apply(build).announcement()
+
+/** The parts of an announcement. */
+@BuilderScope
+class AnnouncementBuilder internal constructor(private val name: String, private val incarnation: Long) {
+    private val calls = mutableListOf<CallDescription>()
+    private var application: String? = null
+    private var description: RunnerDescription? = null
+
+    /** Host and port. */
+    var address: String = "$name:1"
+
+    /** The zone that it runs in. */
+    var availabilityZone: String = "howrah"
+
+    /** Requests that it runs at the same time. */
+    var capacity: Int = 1
+
+    /** Makes it a runner. */
+    fun runner(held: RunnerDescription) {
+        description = held
+    }
+
+    /** Makes it a plain service that answers the call [name] of [application]. */
+    fun call(application: String, name: String, repeatable: Boolean) {
+        this.application = application
+        calls += CallDescription(name, repeatable)
+    }
+
+    internal fun announcement() = BackEndAnnouncement(
+        name = name,
+        incarnation = incarnation,
+        address = address,
+        availabilityZone = availabilityZone,
+        capacity = capacity,
+        runner = description,
+        plainService = application?.let { PlainServiceDescription(it, calls.toList()) },
+    )
+}
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -72,7 +72,12 @@
     private val own = settings.replicas.first { it.name == settings.name }
     private val self = Replica(settings.name, folder.identity())
     private val identityChoice = IdentityChoice(self, names)
-    private val peerSettings = PeerSettings(settings.name, environment.keys.system, settings.maximumMessageBytes)
+    private val peerSettings = PeerSettings(
+        settings.name,
+        environment.keys.system,
+        settings.maximumMessageBytes,
+        onSent = metrics::countPeerBytes,
+    )
     private val clients = settings.replicas
         .filter { it != own }
         .associate { peer ->
--- a/daemon/control/src/test/kotlin/cassiaspindle/daemon/control/ControlDaemonTest.kt
+++ b/daemon/control/src/test/kotlin/cassiaspindle/daemon/control/ControlDaemonTest.kt
@@ -1,14 +1,13 @@
 package cassiaspindle.daemon.control
 
 import cassiaspindle.codec.Keys
+import cassiaspindle.core.builder.serviceDocument
 import cassiaspindle.core.concurrency.seededRandom
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.core.time.Clock
-import cassiaspindle.schema.CallStage
 import cassiaspindle.schema.ControlAddress
 import cassiaspindle.schema.ControlSettings
 import cassiaspindle.schema.KeyFiles
-import cassiaspindle.schema.ServiceDocument
 import cassiaspindle.schema.Stage
 import cassiaspindle.transport.http.client.OperatorClient
 import cassiaspindle.transport.http.client.newHttpClient
@@ -61,12 +60,9 @@
         operators.show("nothing").getError()?.code shouldBe ResultCode.UNKNOWN_DOCUMENT
     }
 
-    private fun document(version: Long, call: String = "explain") = ServiceDocument(
-        service = "service",
-        version = version,
-        stages = listOf(Stage("explain", call = CallStage("line-app", call, repeatable = true))),
-        callers = emptyList(),
-    )
+    private fun document(version: Long, call: String = "explain") = serviceDocument("service", version) {
+        call(call, application = "line-app")
+    }
 
     private fun start(name: String): ControlDaemon {
         val settings = ControlSettings(
--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
@@ -50,7 +50,12 @@
     private val client = newHttpClient()
     private val controls = ControlLink(
         settings.controls,
-        PeerSettings(settings.name, environment.keys.system, settings.maximumMessageBytes),
+        PeerSettings(
+            settings.name,
+            environment.keys.system,
+            settings.maximumMessageBytes,
+            onSent = parts.metrics::countPeerBytes,
+        ),
         selector,
         ::heard,
     )
--- a/history/src/main/kotlin/cassiaspindle/history/request/RequestHistory.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/request/RequestHistory.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.history.request
 
+import cassiaspindle.core.builder.serviceDocument
 import cassiaspindle.core.identity.Digest
 import cassiaspindle.core.identity.OrderKey
 import cassiaspindle.entry.admission.AdmissionControl
@@ -9,14 +10,9 @@
 import cassiaspindle.entry.request.Policies
 import cassiaspindle.entry.request.RequestController
 import cassiaspindle.entry.request.RequestStart
-import cassiaspindle.schema.AllowedCaller
-import cassiaspindle.schema.CallStage
 import cassiaspindle.schema.EntryNews
-import cassiaspindle.schema.ModelStage
 import cassiaspindle.schema.Priority
-import cassiaspindle.schema.ServiceDocument
 import cassiaspindle.schema.ServiceRequest
-import cassiaspindle.schema.Stage
 import cassiaspindle.schema.StoredDocument
 import cassiaspindle.standin.application.StandInApplication
 import cassiaspindle.standin.model.FleetRecorder
@@ -126,15 +122,17 @@
     }
 
     private fun applyDocuments() {
-        val caller = AllowedCaller(ACCOUNT, Digest.of(ACCOUNT_KEY))
-        val stages = listOf(
-            Stage("generate", model = ModelStage(MODEL, "v1", LAYERS)),
-            Stage("explain", call = CallStage(APPLICATION, "explain", repeatable = true)),
-        )
-        val reject = CallStage(APPLICATION, "reject", repeatable = false, statusRead = random.nextBoolean())
+        val hasStatusRead = random.nextBoolean()
         val documents = listOf(
-            ServiceDocument(ANALYSIS, 1, stages, listOf(caller)),
-            ServiceDocument(ORDERS, 1, listOf(Stage("reject", call = reject)), listOf(caller)),
+            serviceDocument(ANALYSIS, version = 1) {
+                model("generate", MODEL, "v1", LAYERS)
+                call("explain", APPLICATION)
+                caller(ACCOUNT, ACCOUNT_KEY)
+            },
+            serviceDocument(ORDERS, version = 1) {
+                call("reject", APPLICATION, repeatable = false, statusRead = hasStatusRead)
+                caller(ACCOUNT, ACCOUNT_KEY)
+            },
         )
         catalog.renew(
             EntryNews(
--- a/history/src/main/kotlin/cassiaspindle/history/request/SimulatedFleet.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/request/SimulatedFleet.kt
@@ -1,8 +1,7 @@
 package cassiaspindle.history.request
 
+import cassiaspindle.core.builder.announcement
 import cassiaspindle.schema.BackEndAnnouncement
-import cassiaspindle.schema.CallDescription
-import cassiaspindle.schema.PlainServiceDescription
 import cassiaspindle.schema.RunnerDescription
 import cassiaspindle.schema.StepOutcome
 import cassiaspindle.schema.StepRequest
@@ -34,11 +33,11 @@
     }
 
     val applications: List<BackEndAnnouncement> = List(2) { index ->
-        val calls = listOf(CallDescription("explain", true), CallDescription("reject", false))
-        announcement(
-            "$APPLICATION-$index",
-            incarnation = 1
-        ).copy(plainService = PlainServiceDescription(APPLICATION, calls))
+        announcement("$APPLICATION-$index", incarnation = 1) {
+            capacity = CAPACITY
+            call(APPLICATION, "explain", repeatable = true)
+            call(APPLICATION, "reject", repeatable = false)
+        }
     }
 
     fun runner(name: String): SimulatedRunner? = runners.firstOrNull { it.name == name }
@@ -76,7 +75,10 @@
     /** Takes steps and announces itself, but answers nothing. */
     var isFrozen = false
 
-    fun announcement(): BackEndAnnouncement = announcement(name, incarnation).copy(runner = description)
+    fun announcement(): BackEndAnnouncement = announcement(name, incarnation) {
+        capacity = CAPACITY
+        runner(description)
+    }
 
     fun crash() {
         isUp = false
@@ -96,11 +98,3 @@
         else -> store.run(step).takeIf { !isFrozen }
     }
 }
-
-private fun announcement(name: String, incarnation: Long) = BackEndAnnouncement(
-    name = name,
-    incarnation = incarnation,
-    address = "$name:1",
-    availabilityZone = "howrah",
-    capacity = CAPACITY,
-)
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -33,6 +33,15 @@
 
 await_leader() { until [ -n "$(leader)" ]; do sleep 0.2; done; }
 
+metrics_address() {
+  case "$1" in
+    entry-*) address_of "$1" ;;
+    *) grep -A 2 "\"name\": \"$1\"" "$folder/client.json" | grep operatorAddress | cut -d'"' -f4 ;;
+  esac
+}
+
+sent() { curl -s "http://$(metrics_address "$1")/metrics" | awk '/^cassiaspindle_peer_sent_bytes_total/ { printf "%d", $2 }'; }
+
 ticks() { awk '{ print $14 + $15 }' "/proc/${process[$1]}/stat"; }
 
 kill_leader() {
@@ -60,8 +69,13 @@
   load=$!
   sleep 6
 fi
+[ "$mode" != idle ] || sleep 15
 declare -A before
-for name in "${!process[@]}"; do before[$name]=$(ticks "$name"); done
+declare -A sent_before
+for name in "${!process[@]}"; do
+  before[$name]=$(ticks "$name")
+  sent_before[$name]=$(sent "$name")
+done
 measured=$((seconds / 2))
 if [ "$mode" = kill ]; then
   kill_leader 2
@@ -73,7 +87,8 @@
     used=$((($(ticks "$name") - ${before[$name]})))
     percent=$(awk -v used="$used" -v seconds="$measured" -v hertz="$(getconf CLK_TCK)" \
       'BEGIN { printf "%.2f", 100 * used / hertz / seconds }')
-    echo "process=$name mode=$mode resident_megabytes=$resident core_percent=$percent"
+    bytes=$((($(sent "$name") - ${sent_before[$name]}) / measured))
+    echo "process=$name mode=$mode resident_megabytes=$resident core_percent=$percent peer_bytes_a_second=$bytes"
   done
 fi
 result=0
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/HttpFrontEnd.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/HttpFrontEnd.kt
@@ -28,6 +28,11 @@
     /** The registry that `/metrics` shows. */
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
 
+    private val peerBytes = Counter.builder("cassiaspindle.peer.sent.bytes").register(registry)
+
+    /** Counts bytes sent to own processes. */
+    fun countPeerBytes(bytes: Int) = peerBytes.increment(bytes.toDouble())
+
     /** Counts one answer with [code]. */
     fun count(code: ResultCode) {
         Counter.builder("cassiaspindle.results").tag("code", code.number.toString()).register(registry).increment()
--- /dev/null
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/BackEndRoutesTest.kt
@@ -0,0 +1,73 @@
+package cassiaspindle.transport.http
+
+import cassiaspindle.codec.encodeJson
+import cassiaspindle.core.builder.announcement
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.Acknowledgement
+import cassiaspindle.schema.AnnouncementReply
+import cassiaspindle.schema.BackEndAnnouncement
+import cassiaspindle.schema.Execution
+import cassiaspindle.schema.RunnerDescription
+import cassiaspindle.transport.http.backend.BackEndFrontEnd
+import cassiaspindle.transport.http.backend.backEndRoutes
+import cassiaspindle.transport.http.server.HttpFrontEnd
+import cassiaspindle.transport.http.server.Metrics
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import java.util.concurrent.CopyOnWriteArrayList
+
+class BackEndRoutesTest : AnnotationSpec() {
+    private val announced = CopyOnWriteArrayList<BackEndAnnouncement>()
+    private val metrics = Metrics()
+    private val frontEnd = BackEndFrontEnd(
+        key = "key",
+        maximumMessageBytes = MAXIMUM_BYTES,
+        metrics = metrics,
+        announce = { message -> AnnouncementReply(1_000, emptyList()).also { announced += message } },
+        report = { Acknowledgement(accepted = true) },
+        cacheEvents = { Acknowledgement(accepted = true) },
+        leave = { Acknowledgement(accepted = true) },
+    )
+    private val server = HttpFrontEnd.start("127.0.0.1", 0, metrics) { backEndRoutes(frontEnd) }
+    private val caller = TestCaller { server.port }
+    private val runner =
+        announcement("runner", incarnation = 1) { runner(RunnerDescription("kind", "model", "v1", 0, 8)) }
+
+    @AfterAll
+    fun stop() = server.close()
+
+    @Test
+    fun `each bad message gets its numbered code and changes nothing`() {
+        val good = encodeJson(runner)
+        val empty = runner.copy(runner = RunnerDescription("kind", "model", "v1", 8, 8))
+        val attempts = listOf(
+            Attempt(ANNOUNCEMENTS, good, ResultCode.UNAUTHENTICATED, bearer = null),
+            Attempt(ANNOUNCEMENTS, good, ResultCode.UNAUTHENTICATED, bearer = "wrong"),
+            Attempt(ANNOUNCEMENTS, "{", ResultCode.MALFORMED),
+            Attempt(ANNOUNCEMENTS, good.replace("\"name\"", "\"nmae\""), ResultCode.MALFORMED),
+            Attempt(ANNOUNCEMENTS, encodeJson(runner.copy(runner = null)), ResultCode.MALFORMED),
+            Attempt(ANNOUNCEMENTS, encodeJson(runner.copy(capacity = 0)), ResultCode.MALFORMED),
+            Attempt(ANNOUNCEMENTS, encodeJson(runner.copy(incarnation = 0)), ResultCode.MALFORMED),
+            Attempt(ANNOUNCEMENTS, encodeJson(empty), ResultCode.MALFORMED),
+            Attempt(ANNOUNCEMENTS, " ".repeat(MAXIMUM_BYTES + 1), ResultCode.TOO_LARGE),
+            Attempt("/v1/backends/load-reports", good, ResultCode.MALFORMED),
+            Attempt("/v1/backends/cache-events", "[]", ResultCode.MALFORMED),
+            Attempt("/v1/backends/leave-notices", "", ResultCode.MALFORMED),
+            Attempt("/v1/backends/nothing", good, ResultCode.UNKNOWN_PATH),
+        )
+        for (attempt in attempts) {
+            val error = caller.error(attempt).shouldNotBeNull()
+            error.code shouldBe attempt.code.number
+            error.execution shouldBe Execution.NOT_RUN
+        }
+        announced.size shouldBe 0
+        caller.send(Attempt(ANNOUNCEMENTS, good, ResultCode.OK)).statusCode() shouldBe 200
+        announced.single() shouldBe runner
+    }
+
+    private companion object {
+        const val MAXIMUM_BYTES = 2_048
+        const val ANNOUNCEMENTS = "/v1/backends/announcements"
+    }
+}
--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
@@ -1,11 +1,9 @@
 package cassiaspindle.transport.http
 
-import cassiaspindle.codec.decodeJson
 import cassiaspindle.core.identity.OrderKey
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.schema.EntryAddresses
-import cassiaspindle.schema.ErrorAnswer
 import cassiaspindle.schema.Execution
 import cassiaspindle.schema.ServiceAnswer
 import cassiaspindle.schema.TokenEvent
@@ -18,15 +16,10 @@
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.http.server.errorAnswerOf
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.get
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
-import java.net.URI
-import java.net.http.HttpClient
-import java.net.http.HttpRequest
-import java.net.http.HttpResponse
 import java.util.concurrent.CopyOnWriteArrayList
 
 class CallerRoutesTest : AnnotationSpec() {
@@ -42,7 +35,7 @@
         describe = ::errorAnswerOf,
     )
     private val server = HttpFrontEnd.start("127.0.0.1", 0, metrics) { callerRoutes(frontEnd) }
-    private val client = HttpClient.newHttpClient()
+    private val caller = TestCaller { server.port }
 
     @AfterAll
     fun stop() = server.close()
@@ -52,22 +45,21 @@
         val good = """{"input": "text"}"""
         val key = OrderKey.of(1, 1, 1).text
         val attempts = listOf(
-            Attempt("requests", good, ResultCode.UNAUTHENTICATED, bearer = null),
-            Attempt("requests", "{", ResultCode.MALFORMED),
-            Attempt("requests", """{"input": ""}""", ResultCode.MALFORMED),
-            Attempt("requests", """{"input": "text", "inptu": 1}""", ResultCode.MALFORMED),
-            Attempt("requests", """{"input": "text", "maximumTokens": 0}""", ResultCode.MALFORMED),
-            Attempt("requests", """{"input": "${"x".repeat(MAXIMUM_BYTES)}"}""", ResultCode.TOO_LARGE),
-            Attempt("requests", good, ResultCode.MALFORMED, headers = listOf("Request-Priority", "soon")),
-            Attempt("requests", good, ResultCode.MALFORMED, headers = listOf("Request-Deadline-Milliseconds", "0")),
-            Attempt("orders", good, ResultCode.ORDER_KEY_INVALID),
-            Attempt("orders", good, ResultCode.ORDER_KEY_INVALID, headers = listOf("Idempotency-Key", "1")),
-            Attempt("orders", "", ResultCode.MALFORMED, headers = listOf("Idempotency-Key", key)),
-            Attempt("nothing", good, ResultCode.UNKNOWN_PATH),
+            Attempt(REQUESTS, good, ResultCode.UNAUTHENTICATED, bearer = null),
+            Attempt(REQUESTS, "{", ResultCode.MALFORMED),
+            Attempt(REQUESTS, """{"input": ""}""", ResultCode.MALFORMED),
+            Attempt(REQUESTS, """{"input": "text", "inptu": 1}""", ResultCode.MALFORMED),
+            Attempt(REQUESTS, """{"input": "text", "maximumTokens": 0}""", ResultCode.MALFORMED),
+            Attempt(REQUESTS, """{"input": "${"x".repeat(MAXIMUM_BYTES)}"}""", ResultCode.TOO_LARGE),
+            Attempt(REQUESTS, good, ResultCode.MALFORMED, headers = listOf("Request-Priority", "soon")),
+            Attempt(REQUESTS, good, ResultCode.MALFORMED, headers = listOf("Request-Deadline-Milliseconds", "0")),
+            Attempt(ORDERS, good, ResultCode.ORDER_KEY_INVALID),
+            Attempt(ORDERS, good, ResultCode.ORDER_KEY_INVALID, headers = listOf("Idempotency-Key", "1")),
+            Attempt(ORDERS, "", ResultCode.MALFORMED, headers = listOf("Idempotency-Key", key)),
+            Attempt("/v1/nothing", good, ResultCode.UNKNOWN_PATH),
         )
         for (attempt in attempts) {
-            val answer = send(attempt)
-            val error = decodeJson<ErrorAnswer>(answer.body()).get().shouldNotBeNull()
+            val error = caller.error(attempt).shouldNotBeNull()
             error.code shouldBe attempt.code.number
             error.execution shouldBe Execution.NOT_RUN
         }
@@ -79,9 +71,9 @@
     fun `a stream gives tokens and then its end mark`() {
         events += CallerEvent.Token(TokenEvent(0, 7))
         events += CallerEvent.Answer(ServiceAnswer("1", 1, listOf(7), "out"))
-        val answer = send(
+        val answer = caller.send(
             Attempt(
-                "requests",
+                REQUESTS,
                 """{"input": "text"}""",
                 ResultCode.OK,
                 headers = listOf("Accept", "text/event-stream")
@@ -95,8 +87,8 @@
     @Test
     fun `a failure before the first token has its own status`() {
         events += CallerEvent.Failed(Failure(ResultCode.ACCOUNT_LIMIT))
-        val attempt = Attempt("requests", """{"input": "text"}""", ResultCode.ACCOUNT_LIMIT)
-        send(attempt.copy(headers = listOf("Accept", "text/event-stream"))).statusCode() shouldBe 429
+        val attempt = Attempt(REQUESTS, """{"input": "text"}""", ResultCode.ACCOUNT_LIMIT)
+        caller.send(attempt.copy(headers = listOf("Accept", "text/event-stream"))).statusCode() shouldBe 429
         begun.clear()
     }
 
@@ -108,24 +100,9 @@
         return session
     }
 
-    private fun send(attempt: Attempt): HttpResponse<String> {
-        val address = "http://127.0.0.1:${server.port}/v1/services/service/${attempt.path}"
-        val builder = HttpRequest.newBuilder(URI(address))
-            .POST(HttpRequest.BodyPublishers.ofString(attempt.body))
-        attempt.bearer?.let { builder.header("Authorization", "Bearer $it") }
-        attempt.headers.chunked(2).forEach { (name, value) -> builder.header(name, value) }
-        return client.send(builder.build(), HttpResponse.BodyHandlers.ofString())
-    }
-
-    private data class Attempt(
-        val path: String,
-        val body: String,
-        val code: ResultCode,
-        val bearer: String? = "key",
-        val headers: List<String> = emptyList(),
-    )
-
     private companion object {
         const val MAXIMUM_BYTES = 2_048
+        const val REQUESTS = "/v1/services/service/requests"
+        const val ORDERS = "/v1/services/service/orders"
     }
 }
--- /dev/null
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/ControlRoutesTest.kt
@@ -0,0 +1,76 @@
+package cassiaspindle.transport.http
+
+import cassiaspindle.codec.encodeJson
+import cassiaspindle.core.builder.serviceDocument
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.ControlStatus
+import cassiaspindle.schema.ErrorAnswer
+import cassiaspindle.schema.ServiceDocument
+import cassiaspindle.transport.http.operator.ControlFrontEnd
+import cassiaspindle.transport.http.operator.controlRoutes
+import cassiaspindle.transport.http.server.HttpFrontEnd
+import cassiaspindle.transport.http.server.Metrics
+import cassiaspindle.transport.http.server.errorAnswerOf
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import java.util.concurrent.CopyOnWriteArrayList
+
+class ControlRoutesTest : AnnotationSpec() {
+    private val applied = CopyOnWriteArrayList<ServiceDocument>()
+    private val metrics = Metrics()
+    private val frontEnd = ControlFrontEnd(
+        key = "key",
+        maximumMessageBytes = MAXIMUM_BYTES,
+        metrics = metrics,
+        apply = { document -> notLeader().also { applied += document } },
+        show = { notLeader() },
+        history = { notLeader() },
+        status = { ControlStatus("control-0", emptyList(), emptyList()) },
+        unsettledOrders = { notLeader() },
+        settle = { notLeader() },
+    )
+    private val server = HttpFrontEnd.start("127.0.0.1", 0, metrics) { controlRoutes(frontEnd) }
+    private val caller = TestCaller { server.port }
+
+    @AfterAll
+    fun stop() = server.close()
+
+    @Test
+    fun `each bad message gets its numbered code and changes nothing`() {
+        val document = serviceDocument("service", version = 1) { call("explain", application = "line-app") }
+        val good = encodeJson(document)
+        val attempts = listOf(
+            put(good, ResultCode.UNAUTHENTICATED).copy(bearer = null),
+            put(good, ResultCode.UNAUTHENTICATED).copy(bearer = "wrong"),
+            put("{", ResultCode.DOCUMENT_INVALID),
+            put(encodeJson(document.copy(version = 0)), ResultCode.DOCUMENT_INVALID),
+            put(encodeJson(document.copy(service = "No Name")), ResultCode.DOCUMENT_INVALID),
+            put(encodeJson(document.copy(stages = emptyList())), ResultCode.DOCUMENT_INVALID),
+            put(good.replace("\"stages\"", "\"stgaes\""), ResultCode.DOCUMENT_INVALID),
+            put(" ".repeat(MAXIMUM_BYTES + 1), ResultCode.TOO_LARGE),
+            Attempt("/v1/orders/settlements", "{}", ResultCode.MALFORMED),
+            Attempt("/v1/status", "", ResultCode.UNAUTHENTICATED, method = "GET", bearer = null),
+            Attempt("/v1/documents/service", "", ResultCode.UNAUTHENTICATED, method = "GET", bearer = "wrong"),
+            Attempt("/v1/documents/service", "", ResultCode.NOT_LEADER, method = "GET"),
+            Attempt("/v1/nothing", "", ResultCode.UNKNOWN_PATH, method = "GET"),
+        )
+        for (attempt in attempts) {
+            caller.error(attempt).shouldNotBeNull().code shouldBe attempt.code.number
+        }
+        applied.size shouldBe 0
+        caller.error(put(good, ResultCode.NOT_LEADER))?.code shouldBe ResultCode.NOT_LEADER.number
+        applied.single() shouldBe document
+    }
+
+    private fun put(body: String, code: ResultCode) = Attempt("/v1/documents", body, code, method = "PUT")
+
+    private fun notLeader(): Result<Nothing, ErrorAnswer> = Err(errorAnswerOf(Failure(ResultCode.NOT_LEADER)))
+
+    private companion object {
+        const val MAXIMUM_BYTES = 2_048
+    }
+}
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/FrameChannel.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/FrameChannel.kt
@@ -24,9 +24,10 @@
     }
 }
 
-/** Writes one frame without flushing. */
-internal suspend fun ByteWriteChannel.writeFrame(frame: PeerFrame) {
+/** Writes one frame without flushing and gives its size in bytes. */
+internal suspend fun ByteWriteChannel.writeFrame(frame: PeerFrame): Int {
     val bytes = encodeCbor(frame)
     writeInt(bytes.size)
     writeFully(bytes)
+    return bytes.size + Int.SIZE_BYTES
 }
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
@@ -47,7 +47,7 @@
 
     /** Writes [frame] at once. */
     internal suspend fun writeNow(frame: PeerFrame) {
-        outgoing.writeFrame(frame)
+        write(frame)
         outgoing.flush()
     }
 
@@ -62,10 +62,12 @@
             val received = withTimeoutOrNull(settings.pingMilliseconds) { queue.receiveCatching() }
             open = received?.isClosed != true
             if (open) {
-                outgoing.writeFrame(received?.getOrNull() ?: PeerFrame(PeerFrameKind.HELLO))
-                generateSequence { queue.tryReceive().getOrNull() }.forEach { outgoing.writeFrame(it) }
+                write(received?.getOrNull() ?: PeerFrame(PeerFrameKind.HELLO))
+                generateSequence { queue.tryReceive().getOrNull() }.forEach { write(it) }
                 outgoing.flush()
             }
         }
     }
+
+    private suspend fun write(frame: PeerFrame) = settings.onSent(outgoing.writeFrame(frame))
 }
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerSettings.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerSettings.kt
@@ -13,6 +13,8 @@
     val key: String,
     /** Largest frame read, in bytes. */
     val maximumMessageBytes: Int,
+    /** Takes the number of bytes of each frame sent; must not wait. */
+    val onSent: (bytes: Int) -> Unit = {},
     /** An idle end sends a frame this often, in milliseconds. */
     val pingMilliseconds: Long = DEFAULT_PING_MILLISECONDS,
 ) {
