Count votes of the running election only, and halve the cost of control

The cause is older: a granted vote that arrived late from an earlier term counted for the running one. Votes now count for their own election only, by round and term, with a test of its own.

--- a/codec/src/main/kotlin/cassiaspindle/codec/CborCodec.kt
+++ b/codec/src/main/kotlin/cassiaspindle/codec/CborCodec.kt
@@ -16,6 +16,7 @@
 val wireCbor = Cbor {
     ignoreUnknownKeys = true
     encodeDefaults = false
+    preferCborLabelsOverNames = true
 }
 
 /** Reads [bytes] as a [Message]; [ResultCode.MALFORMED] where they are none. */
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/EffectPerformer.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/EffectPerformer.kt
@@ -77,7 +77,6 @@
             leaseMilliseconds = 0,
             documentSequence = document.sequence,
             documents = listOf(document),
-            addresses = emptyList(),
         )
         outgoing.toEntries(PeerFrame(PeerFrameKind.NEWS, news = news))
     }
--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
@@ -136,6 +136,7 @@
                 address = address,
                 availabilityZone = settings.availabilityZone,
                 documentSequence = parts.catalog.sequence,
+                addressesHash = parts.catalog.addressesHash,
                 sentMilliseconds = parts.now(),
                 draining = callers.isLeaving,
             ),
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/EntryLeases.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/EntryLeases.kt
@@ -24,13 +24,14 @@
             DocumentNews(documents.sequence, documents.acceptedAfter(heartbeat.documentSequence))
                 .takeIf { shard.group.canRead(nowMilliseconds) }
         }
+        val addresses = sessions.addresses(nowMilliseconds)
         return news?.let {
             EntryNews(
                 sentMilliseconds = heartbeat.sentMilliseconds,
                 leaseMilliseconds = leaseMilliseconds,
                 documentSequence = it.sequence,
                 documents = it.documents,
-                addresses = sessions.addresses(nowMilliseconds),
+                addresses = addresses.takeIf { list -> list.hashCode() != heartbeat.addressesHash },
             )
         }
     }
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/catalog/ServiceCatalog.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/catalog/ServiceCatalog.kt
@@ -25,7 +25,7 @@
             contents.sequence = maxOf(contents.sequence, news.documentSequence)
             contents.leaseEndMilliseconds =
                 maxOf(contents.leaseEndMilliseconds, news.sentMilliseconds + news.leaseMilliseconds)
-            contents.addresses = news.addresses
+            contents.addresses = news.addresses ?: contents.addresses
         }
     }
 
@@ -48,6 +48,9 @@
     /** The entry VMs that callers may use, as the control leader sees them. */
     fun addresses(): List<EntryAddress> = shard.withIndex(0) { it.addresses }
 
+    /** Hash of [addresses], by which the control leader tells whether they are up to date. */
+    val addressesHash: Int get() = addresses().hashCode()
+
     private class Contents {
         val documents = mutableMapOf<String, StoredDocument>()
         var sequence = 0L
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Election.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Election.kt
@@ -14,6 +14,9 @@
 internal class Election(private val state: ReplicaState, private val leadership: Leadership) {
     private val granted = mutableSetOf<Replica>()
 
+    /** Number of the pre-vote or vote under way; a reply repeats it, so that a late one of an earlier vote is told. */
+    private var round = 0L
+
     fun startPreVote(nowMilliseconds: Long, output: OutputCollector) {
         state.postponeElection(nowMilliseconds)
         if (!state.isVoter) return
@@ -21,6 +24,7 @@
         state.leader = null
         granted.clear()
         granted += state.self
+        round = nowMilliseconds
         askVoters(ReplicationKind.PRE_VOTE, output, output::send)
         continueIfGranted(nowMilliseconds, output)
     }
@@ -44,12 +48,12 @@
         val grant = !hearsLeader(nowMilliseconds) &&
             message.term >= state.term &&
             state.isUpToDate(message.lastIndex, message.lastTerm)
-        output.send(output.message(ReplicationKind.PRE_VOTE_REPLY, message.from).copy(granted = grant))
+        output.send(output.reply(ReplicationKind.PRE_VOTE_REPLY, message, grant))
     }
 
     private fun answerVote(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
         if (hearsLeader(nowMilliseconds) || message.term < state.term) {
-            output.send(output.message(ReplicationKind.VOTE_REPLY, message.from))
+            output.send(output.reply(ReplicationKind.VOTE_REPLY, message, granted = false))
             return
         }
         leadership.followTerm(message.term, output)
@@ -59,13 +63,15 @@
             output.setHardState(HardState(state.term, message.from))
             state.postponeElection(nowMilliseconds)
         }
-        output.sendAfterSync(output.message(ReplicationKind.VOTE_REPLY, message.from).copy(granted = grant))
+        output.sendAfterSync(output.reply(ReplicationKind.VOTE_REPLY, message, grant))
     }
 
     private fun count(reply: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
-        val expected = if (reply.kind == ReplicationKind.PRE_VOTE_REPLY) Role.PRE_CANDIDATE else Role.CANDIDATE
-        val counts = reply.granted && state.role == expected && reply.term <= state.term
-        if (!counts || reply.from !in state.membership.voters) return
+        val isPreVote = reply.kind == ReplicationKind.PRE_VOTE_REPLY
+        val expected = if (isPreVote) Role.PRE_CANDIDATE else Role.CANDIDATE
+        val isOfThisTerm = isPreVote || reply.term == state.term
+        val isOfThisElection = state.role == expected && reply.round == round && isOfThisTerm
+        if (!reply.granted || !isOfThisElection || reply.from !in state.membership.voters) return
         granted += reply.from
         continueIfGranted(nowMilliseconds, output)
     }
@@ -89,7 +95,8 @@
     private fun askVoters(kind: ReplicationKind, output: OutputCollector, send: (ReplicationMessage) -> Unit) {
         state.membership.voters
             .filter { it != state.self }
-            .map { output.message(kind, it).copy(lastIndex = state.log.lastIndex, lastTerm = state.log.lastTerm) }
+            .map { output.message(kind, it) }
+            .map { it.copy(lastIndex = state.log.lastIndex, lastTerm = state.log.lastTerm, round = round) }
             .forEach(send)
     }
 
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Following.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Following.kt
@@ -58,8 +58,7 @@
 
     private fun reply(message: ReplicationMessage, granted: Boolean, lastIndex: Long, output: OutputCollector) {
         output.sendAfterSync(
-            output.message(ReplicationKind.APPEND_REPLY, message.from)
-                .copy(granted = granted, lastIndex = lastIndex, round = message.round),
+            output.reply(ReplicationKind.APPEND_REPLY, message, granted).copy(lastIndex = lastIndex),
         )
     }
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
@@ -88,7 +88,7 @@
     fun hasCommittedInTerm(): Boolean = state.log.termAt(state.commitIndex) == state.term
 
     private fun sendRound(nowMilliseconds: Long, output: OutputCollector) {
-        nextRoundMilliseconds = nowMilliseconds + state.settings.heartbeatMilliseconds
+        nextRoundMilliseconds = state.settings.roundAfter(nowMilliseconds)
         progress.retainPeers()
         state.peers.forEach { sender.send(it, progress.of(it), nowMilliseconds, output) }
     }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/OutputCollector.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/OutputCollector.kt
@@ -57,12 +57,20 @@
     }
 
     fun collect(): ReplicationOutput {
+        if (records.isEmpty() && state.unsyncedWork == 0) {
+            return ReplicationOutput(messages + durableMessages, durable = null, applied)
+        }
         val needsLog = records.isNotEmpty() || durableMessages.isNotEmpty()
+        return ReplicationOutput(messages, if (needsLog) durableWork() else null, applied)
+    }
+
+    private fun durableWork(): DurableWork {
+        state.unsyncedWork++
         val mark = DurableMark(state.truncations, state.log.lastIndex, state.term)
-        return ReplicationOutput(
-            messages = messages,
-            durable = if (needsLog) DurableWork(records, durableMessages, mark) else null,
-            applied = applied,
-        )
+        return DurableWork(records, durableMessages, mark)
     }
 }
+
+/** The reply to [asked], which repeats its round. */
+internal fun OutputCollector.reply(kind: ReplicationKind, asked: ReplicationMessage, granted: Boolean) =
+    message(kind, asked.from).copy(granted = granted, round = asked.round)
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
@@ -72,6 +72,7 @@
 
     /** Reports that the work that carried [mark] is synced. */
     fun persisted(mark: DurableMark, nowMilliseconds: Long): ReplicationOutput = collect { output ->
+        state.unsyncedWork--
         if (mark.truncations == state.truncations) {
             state.durableIndex = maxOf(state.durableIndex, mark.lastIndex)
         }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
@@ -41,6 +41,9 @@
     var commitIndex = image.snapshot.lastIndex
     var durableIndex = log.lastIndex
     var truncations = 0L
+
+    /** Pieces of durable work that were given out and are not reported as synced. */
+    var unsyncedWork = 0
     var membership = log.membership
 
     /** Before this time no vote is granted: the replica may have acknowledged a leader whose lease still runs. */
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
@@ -5,7 +5,7 @@
 private const val DEFAULT_MAXIMUM_ENTRIES_PER_APPEND = 256
 private const val DEFAULT_SNAPSHOT_EVERY_ENTRIES = 2_000
 private const val DEFAULT_CLOCK_DRIFT_PER_MILLE = 20L
-private const val HEARTBEATS_PER_TIMEOUT = 5L
+private const val HEARTBEATS_PER_TIMEOUT = 3L
 private const val ONE_IN_PER_MILLE = 1_000L
 
 /** Settings of one group on one replica; times in milliseconds. */
@@ -22,6 +22,9 @@
     /** Time between two rounds of the leader. */
     val heartbeatMilliseconds: Long get() = electionTimeoutMilliseconds / HEARTBEATS_PER_TIMEOUT
 
+    /** When the next round is due: the same time for all groups, so that their messages share a write. */
+    fun roundAfter(nowMilliseconds: Long): Long = (nowMilliseconds / heartbeatMilliseconds + 1) * heartbeatMilliseconds
+
     /**
      * How long an acknowledged round keeps other leaders out.
      *
--- a/storage/src/main/kotlin/cassiaspindle/storage/DataFolder.kt
+++ b/storage/src/main/kotlin/cassiaspindle/storage/DataFolder.kt
@@ -16,7 +16,8 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.StandardOpenOption
-import java.util.UUID
+import java.security.SecureRandom
+import java.util.HexFormat
 
 private const val LOCK_NAME = "lock"
 private const val IDENTITY_NAME = "identity"
@@ -33,7 +34,7 @@
 
     /** The identity of the folder: written durably at the first start, and never changed. */
     fun identity(): String = files.read(IDENTITY_NAME)?.decodeToString()
-        ?: UUID.randomUUID().toString().also { writeDurably(IDENTITY_NAME, it.encodeToByteArray()) }
+        ?: newIdentity().also { writeDurably(IDENTITY_NAME, it.encodeToByteArray()) }
 
     /** The membership that the log begins with, or null where it was not settled yet. */
     fun beginning(): GroupMembership? = files.read(BEGINNING_NAME)?.let { decodeCbor<GroupMembership>(it).get() }
@@ -41,6 +42,9 @@
     /** Writes the membership that the log begins with durably. */
     fun writeBeginning(membership: GroupMembership) = writeDurably(BEGINNING_NAME, encodeCbor(membership))
 
+    /** Short, since it travels in every replication message; 64 random bits. */
+    private fun newIdentity(): String = HexFormat.of().toHexDigits(SecureRandom().nextLong())
+
     private fun writeDurably(name: String, content: ByteArray) {
         val file = files.open("$name.new", 0)
         file.append(content)
