Revert "Try threads of their own for peer connections"

Cause: the try took 6% of a core where the shared pool takes 5%. Change: back to the shared pool. Conclusion: fewer wake-ups are needed instead, for example one frame for the rounds of all groups and fewer heartbeats.

--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -25,13 +25,17 @@
 import cassiaspindle.transport.peer.PeerHandlers
 import cassiaspindle.transport.peer.PeerServer
 import cassiaspindle.transport.peer.PeerSettings
-import cassiaspindle.transport.peer.PeerThreads
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.map
+import io.ktor.network.selector.SelectorManager
 import io.micrometer.core.instrument.Gauge
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import org.tinylog.kotlin.Logger
 import java.nio.file.Path
 import java.util.concurrent.Executors
@@ -58,7 +62,8 @@
     private val folder: DataFolder,
     private val opened: OpenedLog,
 ) {
-    private val threads = PeerThreads()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val selector = SelectorManager(Dispatchers.IO)
     private val timer: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { task ->
         Thread(task, "control-timer").apply { isDaemon = true }
     }
@@ -77,7 +82,7 @@
         .filter { it != own }
         .associate { peer ->
             val address = HostAndPort.parse(peer.peerAddress)
-            peer.name to PeerClient(peer.name, address, peerSettings, threads.selector, ::heard)
+            peer.name to PeerClient(peer.name, address, peerSettings, selector, ::heard)
         }
     private val performer = EffectPerformer(
         environment.clock,
@@ -97,7 +102,7 @@
     private val server: PeerServer = PeerServer.start(
         HostAndPort.parse(own.peerAddress),
         peerSettings,
-        threads,
+        scope,
         PeerHandlers(PeerDesk(performer, identityChoice)::received, onRefused = { metrics.count(it.code) }),
     )
     private val frontEnd = HostAndPort.parse(own.operatorAddress).let { address ->
@@ -124,14 +129,15 @@
         timer.shutdownNow()
         frontEnd.close()
         server.close()
-        threads.close()
+        scope.cancel()
+        selector.close()
         if (performer.node != null) writer.close()
         folder.close()
         Logger.info { "event=control_stopped name=${settings.name}" }
     }
 
     private fun begin() {
-        clients.values.forEach { it.start(threads.scope) }
+        clients.values.forEach { it.start(scope) }
         val beginning = folder.beginning()
         if (beginning != null) {
             run(beginning)
--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
@@ -16,7 +16,7 @@
 import cassiaspindle.transport.http.server.HttpFrontEnd
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerSettings
-import cassiaspindle.transport.peer.PeerThreads
+import io.ktor.network.selector.SelectorManager
 import io.micrometer.core.instrument.Gauge
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -43,7 +43,7 @@
 class EntryDaemon(private val settings: EntrySettings, environment: EntryEnvironment) {
     private val parts = EntryParts(settings, environment)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val threads = PeerThreads()
+    private val selector = SelectorManager(Dispatchers.IO)
     private val timer: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { task ->
         Thread(task, "entry-timer").apply { isDaemon = true }
     }
@@ -56,7 +56,7 @@
             settings.maximumMessageBytes,
             onSent = parts.metrics::countPeerBytes,
         ),
-        threads.selector,
+        selector,
         ::heard,
     )
     private val machinery = Machinery(scope, timer, environment.clock, client, ApplicationClient(client))
@@ -89,7 +89,7 @@
 
     /** Begins to hear the control replicas. */
     fun start() {
-        controls.start(threads.scope)
+        controls.start(scope)
         timer.scheduleAtFixedRate(::sendHeartbeat, 0, HEARTBEAT_MILLISECONDS, TimeUnit.MILLISECONDS)
         Logger.info { "event=entry_started name=${settings.name} address=$address" }
     }
@@ -115,7 +115,7 @@
         frontEnd.close()
         scope.cancel()
         client.close()
-        threads.close()
+        selector.close()
         Logger.info { "event=entry_stopped name=${settings.name}" }
     }
 
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -7,10 +7,12 @@
 import cassiaspindle.schema.PeerFrameKind
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -27,6 +29,7 @@
 
 /** Accepts connections of own processes; the first frame has to show the key. */
 class PeerServer private constructor(
+    private val selector: SelectorManager,
     private val socket: ServerSocket,
     private val settings: PeerSettings,
     private val handlers: PeerHandlers,
@@ -42,6 +45,7 @@
     fun close() {
         socket.close()
         connections.forEach(PeerConnection::close)
+        selector.close()
     }
 
     private suspend fun acceptAll(scope: CoroutineScope) {
@@ -93,18 +97,19 @@
 
     /** Starting. */
     companion object {
-        /** Listens on [address]; connections run on [threads]. */
+        /** Listens on [address] within [scope]. */
         fun start(
             address: HostAndPort,
             settings: PeerSettings,
-            threads: PeerThreads,
+            scope: CoroutineScope,
             handlers: PeerHandlers,
         ): PeerServer {
+            val selector = SelectorManager(Dispatchers.IO)
             val socket = runBlocking {
-                aSocket(threads.selector).tcp().bind(address.host, address.port) { reuseAddress = true }
+                aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
             }
-            val server = PeerServer(socket, settings, handlers)
-            threads.scope.launch { server.acceptAll(threads.scope) }
+            val server = PeerServer(selector, socket, settings, handlers)
+            scope.launch { server.acceptAll(scope) }
             return server
         }
     }
--- a/transport/peer/src/test/kotlin/cassiaspindle/transport/peer/PeerServerTest.kt
+++ b/transport/peer/src/test/kotlin/cassiaspindle/transport/peer/PeerServerTest.kt
@@ -7,6 +7,11 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import java.io.ByteArrayOutputStream
 import java.io.DataOutputStream
 import java.net.ServerSocket
@@ -15,24 +20,24 @@
 import java.util.concurrent.TimeUnit
 
 class PeerServerTest : AnnotationSpec() {
-    private val threads = PeerThreads()
+    private val connections = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val settings = PeerSettings("server", "right key", MAXIMUM_BYTES)
     private val frames = LinkedBlockingQueue<PeerFrame>()
     private val refused = LinkedBlockingQueue<ResultCode>()
     private val address = HostAndPort("127.0.0.1", ServerSocket(0).use { it.localPort })
     private val handlers = PeerHandlers({ _, frame -> frames.add(frame) }, { refused.add(it.code) })
-    private val server = PeerServer.start(address, settings, threads, handlers)
+    private val server = PeerServer.start(address, settings, connections, handlers)
 
     @AfterAll
     fun stop() {
         server.close()
-        threads.close()
+        connections.cancel()
     }
 
     @Test
     fun `each bad beginning is refused with its code and disturbs nobody`() {
-        val good = PeerClient("server", address, settings, threads.selector) {}
-        val connected = good.start(threads.scope)
+        val good = PeerClient("server", address, settings, SelectorManager(Dispatchers.IO)) {}
+        val connected = good.start(connections)
         val beginnings = mapOf(
             framed(encodeCbor(PeerFrame(PeerFrameKind.HELLO, key = "wrong key"))) to ResultCode.UNAUTHENTICATED,
             framed(encodeCbor(PeerFrame(PeerFrameKind.HELLO))) to ResultCode.UNAUTHENTICATED,
