Send heartbeats of entry VMs less often and find silent peers sooner

Cause: heartbeats at 400 ms and ticks at 50 ms were taken for the processor time of idle daemons, and a silent peer connection was found only after 2 s, later than the entry lease of 1.8 s ends. Change: heartbeats every 600 ms, six ticks a timeout, a silent connection given up after 1.5 s.

--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -44,7 +44,7 @@
 
 private const val PRESENCE_MILLISECONDS = 100L
 private const val SNAPSHOT_EVERY_ENTRIES = 5_000
-private const val TICKS_PER_TIMEOUT = 10L
+private const val TICKS_PER_TIMEOUT = 6L
 
 /** What a daemon is started with besides its settings. */
 data class ControlEnvironment(
--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
@@ -28,7 +28,7 @@
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
-private const val HEARTBEAT_MILLISECONDS = 400L
+private const val HEARTBEAT_MILLISECONDS = 600L
 private const val DRAIN_CHECK_MILLISECONDS = 50L
 
 /** What an entry VM is started with besides its settings. */
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerSettings.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerSettings.kt
@@ -3,7 +3,7 @@
 import cassiaspindle.core.identity.Digest
 
 private const val DEFAULT_PING_MILLISECONDS = 500L
-private const val SILENT_PINGS = 4
+private const val SILENT_PINGS = 3
 
 /** What both ends of a peer connection are told. */
 data class PeerSettings(
@@ -18,7 +18,7 @@
     /** An idle end sends a frame this often, in milliseconds. */
     val pingMilliseconds: Long = DEFAULT_PING_MILLISECONDS,
 ) {
-    /** Silence after which a connection is given up, in milliseconds. */
+    /** Silence after which a connection is given up, in milliseconds; shorter than the lease of an entry VM. */
     val silenceMilliseconds: Long get() = pingMilliseconds * SILENT_PINGS
 
     /** Whether [shown] is the key; takes the same time wherever they differ. */
