Freeze leaders and replace their disks under load

Cause: only kills had been tried on real processes. Change: two more modes of scripts/processes.sh: the leader is stopped with its connections open and goes on later, and the leader comes back with an empty disk before the next one is killed.

--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
-# Starts 3 control replicas and 9 entry VMs as processes, and a load with stand-ins against them. With "kill" the leader
-# is killed with SIGKILL under the load, then the next leader as soon as the first is back. Prints what the load counted
-# and what each process took.
+# Starts 3 control replicas and 9 entry VMs as processes, and a load with stand-ins against them. Prints what the load
+# counted, and with "idle" and "load" what each process took.
 #
-#   scripts/processes.sh idle|load|kill [hooghly|office] [seconds]
+#   scripts/processes.sh idle|load|kill|freeze|replace [hooghly|office] [seconds]
+#
+# kill:    the leader is killed with SIGKILL, then the next leader as soon as the first is back.
+# freeze:  the leader is stopped with its connections open and goes on after another one leads; twice.
+# replace: the leader is killed and comes back with an empty disk; once it votes again, the next leader is killed.
 set -euo pipefail
 mode=${1:-load}
 example=${2:-hooghly}
@@ -44,15 +47,32 @@
 
 ticks() { awk '{ print $14 + $15 }' "/proc/${process[$1]}/stat"; }
 
+await_follower() { until status | grep -q "control=$1 group=0 role=FOLLOWER"; do sleep 0.2; done; }
+
+await_voter() { until status | grep ' group=0 role=LEADER' | grep -q "voters=[^ ]*$1[, ].*learners=$"; do sleep 0.2; done; }
+
 kill_leader() {
   local victim
   victim=$(leader)
   kill -KILL "${process[$victim]}"
   wait "${process[$victim]}" 2>/dev/null || true
   echo "event=killed control=$victim"
-  sleep "$1"
+  [ "${1:-keep}" = keep ] || rm -r "$folder/data-$victim"
+  sleep 2
   start control "$victim"
-  until status | grep -q "control=$victim group=0 role=FOLLOWER"; do sleep 0.2; done
+  await_follower "$victim"
+  await_voter "$victim"
+  echo "event=back control=$victim disk=${1:-keep}"
+}
+
+freeze_leader() {
+  local victim
+  victim=$(leader)
+  kill -STOP "${process[$victim]}"
+  echo "event=frozen control=$victim"
+  sleep 4
+  kill -CONT "${process[$victim]}"
+  await_follower "$victim"
   echo "event=back control=$victim"
 }
 
@@ -78,8 +98,14 @@
 done
 measured=$((seconds / 2))
 if [ "$mode" = kill ]; then
-  kill_leader 2
-  kill_leader 2
+  kill_leader
+  kill_leader
+elif [ "$mode" = freeze ]; then
+  freeze_leader
+  freeze_leader
+elif [ "$mode" = replace ]; then
+  kill_leader lost
+  kill_leader
 else
   sleep "$measured"
   for name in $(printf '%s\n' "${!process[@]}" | sort); do
