Join what the stand-ins announce and end the event loop by its condition

Cause: a reading as a newcomer found the announcement of a stand-in twice and an endless loop with a break in the answers to callers. Change: StandInSettings makes the announcement for both stand-ins; the loop ends with the last event. Conclusion: no change of behaviour.

--- a/command/src/main/kotlin/cassiaspindle/command/local/StandInFleet.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/local/StandInFleet.kt
@@ -2,10 +2,10 @@
 
 import cassiaspindle.core.time.Clock
 import cassiaspindle.schema.PlainServiceDescription
+import cassiaspindle.standin.announce.StandInSettings
 import cassiaspindle.standin.application.StandInApplication
 import cassiaspindle.standin.model.FleetRecorder
 import cassiaspindle.standin.runner.StandInRunner
-import cassiaspindle.standin.runner.StandInSettings
 import cassiaspindle.transport.http.client.AnnouncementClient
 import io.ktor.client.HttpClient
 
--- a/standin/src/main/kotlin/cassiaspindle/standin/application/StandInApplication.kt
+++ b/standin/src/main/kotlin/cassiaspindle/standin/application/StandInApplication.kt
@@ -5,11 +5,10 @@
 import cassiaspindle.schema.ApplicationAnswer
 import cassiaspindle.schema.ApplicationCall
 import cassiaspindle.schema.ApplicationOrderStatus
-import cassiaspindle.schema.BackEndAnnouncement
 import cassiaspindle.schema.PlainServiceDescription
 import cassiaspindle.standin.announce.Announcer
+import cassiaspindle.standin.announce.StandInSettings
 import cassiaspindle.standin.model.FleetRecorder
-import cassiaspindle.standin.runner.StandInSettings
 import cassiaspindle.transport.http.client.AnnouncementClient
 import cassiaspindle.transport.http.server.HttpFrontEnd
 import cassiaspindle.transport.http.server.Metrics
@@ -58,14 +57,7 @@
         frontEnd.close()
     }
 
-    private fun announcement() = BackEndAnnouncement(
-        name = settings.name,
-        incarnation = settings.incarnation,
-        address = "127.0.0.1:${frontEnd.port}",
-        availabilityZone = settings.availabilityZone,
-        capacity = settings.capacity,
-        plainService = description,
-    )
+    private fun announcement() = settings.announcement(frontEnd.port).copy(plainService = description)
 
     private fun Route.routes() {
         post("/v1/calls") {
--- a/standin/src/main/kotlin/cassiaspindle/standin/runner/StandInRunner.kt
+++ b/standin/src/main/kotlin/cassiaspindle/standin/runner/StandInRunner.kt
@@ -5,7 +5,6 @@
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.schema.Acknowledgement
-import cassiaspindle.schema.BackEndAnnouncement
 import cassiaspindle.schema.EngineFrame
 import cassiaspindle.schema.EngineOrder
 import cassiaspindle.schema.EngineReply
@@ -16,6 +15,7 @@
 import cassiaspindle.schema.StepRequest
 import cassiaspindle.schema.StepResult
 import cassiaspindle.standin.announce.Announcer
+import cassiaspindle.standin.announce.StandInSettings
 import cassiaspindle.standin.model.FleetRecorder
 import cassiaspindle.transport.http.client.AnnouncementClient
 import cassiaspindle.transport.http.server.HttpFrontEnd
@@ -46,16 +46,6 @@
 private const val MAXIMUM_MESSAGE_BYTES = 1_048_576
 private const val MICROSECONDS_PER_MILLISECOND = 1_000L
 
-/** What a stand-in is started with. */
-data class StandInSettings(
-    val name: String,
-    val incarnation: Long,
-    val availabilityZone: String,
-    val capacity: Int,
-    /** Entry VMs to announce at first. */
-    val entryAddresses: List<String>,
-)
-
 /** A model engine without a model: runs steps of its layer range and counts them. */
 class StandInRunner(
     private val settings: StandInSettings,
@@ -98,14 +88,7 @@
         frontEnd.close()
     }
 
-    private fun announcement() = BackEndAnnouncement(
-        name = settings.name,
-        incarnation = settings.incarnation,
-        address = "127.0.0.1:${frontEnd.port}",
-        availabilityZone = settings.availabilityZone,
-        capacity = settings.capacity,
-        runner = description,
-    )
+    private fun announcement() = settings.announcement(frontEnd.port).copy(runner = description)
 
     private fun Route.routes() {
         webSocket("/v1/steps") { serveSteps() }
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerAnswers.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerAnswers.kt
@@ -47,11 +47,12 @@
         return
     }
     respondBytesWriter(ContentType.Text.EventStream) {
-        while (true) {
+        writeStringUtf8(eventText(frontEnd, event))
+        flush()
+        while (event is CallerEvent.Token) {
+            event = session.events.receive()
             writeStringUtf8(eventText(frontEnd, event))
             flush()
-            if (event !is CallerEvent.Token) break
-            event = session.events.receive()
         }
     }
 }
