--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/CommandDesk.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/CommandDesk.kt
@@ -6,7 +6,7 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /** Takes the outcome of a command and the leader's name where this replica does not lead; must not wait. */
-internal typealias CommandAnswer = (outcome: CommandOutcome, leader: String?) -> Unit
+typealias CommandAnswer = (outcome: CommandOutcome, leader: String?) -> Unit
 
 /** The commands that wait for an outcome, by ticket. */
 internal class CommandDesk {
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -166,7 +166,7 @@
         }
         val nodeSettings = ControlNodeSettings(
             self = self,
-            names = names,
+            names = { names },
             electionTimeoutMilliseconds = settings.electionTimeoutMilliseconds,
             entryLeaseMilliseconds = settings.entryLeaseMilliseconds,
             orderRetentionMilliseconds = settings.orderRetentionMilliseconds,
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/EffectPerformer.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/EffectPerformer.kt
@@ -16,27 +16,36 @@
 import java.util.concurrent.atomic.AtomicReference
 
 /** Where frames go, as function types; they must not wait. */
-internal data class Outgoing(
+data class Outgoing(
     val toReplica: (name: String, PeerFrame) -> Unit,
     val toEntries: (PeerFrame) -> Unit,
 )
 
 /** Calls the control node and carries out its effects. */
-internal class EffectPerformer(private val clock: Clock, private val outgoing: Outgoing) {
+class EffectPerformer(
+    private val clock: Clock,
+    private val outgoing: Outgoing,
+    /** Called after the effects of each call; must not wait. */
+    private val onPerformed: (ControlNode) -> Unit = {},
+) {
     private val commands = CommandDesk()
     private val running = AtomicReference<ControlNode?>(null)
 
     /** The node, or null before it has begun. */
     val node: ControlNode? get() = running.get()
 
+    /** Hands over the [node] whose effects are carried out from now on. */
     fun begin(node: ControlNode) = running.set(node)
 
+    /** The monotonic time. */
     fun now(): Long = clock.monotonicMilliseconds()
 
+    /** Does what is due. */
     fun tick() {
         node?.let { perform(it.tick(now())) }
     }
 
+    /** Takes a message of a peer. */
     fun receive(message: ReplicationMessage) {
         node?.let { perform(it.receive(message, now())) }
     }
@@ -47,6 +56,7 @@
         node?.let { perform(it.persisted(group, work.mark, now())) }
     }
 
+    /** Has [command] decided; [onAnswer] must not wait. */
     fun submit(command: ControlCommand, onAnswer: CommandAnswer) {
         val begun = node
         if (begun == null) {
@@ -56,12 +66,15 @@
         }
     }
 
-    private fun perform(effects: List<ControlEffect>) = effects.forEach { effect ->
-        when (effect) {
-            is ControlEffect.Send -> send(effect.message)
-            is ControlEffect.Answer -> commands.close(effect)
-            is ControlEffect.Publish -> publish(effect.document)
-        }
+    private fun perform(effects: List<ControlEffect>) {
+        effects.forEach(::performOne)
+        node?.let(onPerformed)
+    }
+
+    private fun performOne(effect: ControlEffect) = when (effect) {
+        is ControlEffect.Send -> send(effect.message)
+        is ControlEffect.Answer -> commands.close(effect)
+        is ControlEffect.Publish -> publish(effect.document)
     }
 
     private fun send(message: ReplicationMessage) =
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/IdentityChoice.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/IdentityChoice.kt
@@ -11,9 +11,9 @@
 import kotlin.concurrent.withLock
 
 /** Settles with the other control replicas whether an empty one founds the system or joins it. */
-internal class IdentityChoice(private val self: Replica, names: List<String>) {
+class IdentityChoice(private val self: Replica, names: List<String>, mayFound: Boolean = true) {
     private val lock = ReentrantLock()
-    private val firstStart = FirstStart(self, names)
+    private val firstStart = FirstStart(self, names, mayFound)
 
     /** The membership that the log begins with, once it is settled; without voters for one that joins. */
     val beginning = CompletableFuture<GroupMembership>()
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -0,0 +1,210 @@
+package cassiaspindle.daemon.relay
+
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.core.time.Clock
+import cassiaspindle.daemon.relay.control.ControlDesk
+import cassiaspindle.daemon.relay.control.PlacementParts
+import cassiaspindle.daemon.relay.control.PlacementRunner
+import cassiaspindle.daemon.relay.fleet.FleetLink
+import cassiaspindle.daemon.relay.fleet.FleetState
+import cassiaspindle.daemon.relay.fleet.LinkHandlers
+import cassiaspindle.daemon.relay.fleet.digestOf
+import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.daemon.relay.protocol.RelayProtocol
+import cassiaspindle.daemon.relay.request.AttemptRunner
+import cassiaspindle.daemon.relay.request.DeskParts
+import cassiaspindle.daemon.relay.request.DiscoveryDesk
+import cassiaspindle.daemon.relay.request.RelayDesk
+import cassiaspindle.daemon.relay.request.RelayParts
+import cassiaspindle.daemon.relay.request.RequestAdmission
+import cassiaspindle.daemon.relay.request.RequestRelay
+import cassiaspindle.relay.request.RetryBudget
+import cassiaspindle.relay.route.BackEndChoice
+import cassiaspindle.relay.route.LoadTable
+import cassiaspindle.relay.route.RouteKnowledge
+import cassiaspindle.relay.route.SuspicionTable
+import cassiaspindle.schema.EntryPresence
+import cassiaspindle.schema.RelaySettings
+import cassiaspindle.transport.http.server.Metrics
+import cassiaspindle.transport.peer.HostAndPort
+import cassiaspindle.transport.peer.PeerSettings
+import cassiaspindle.transport.relay.CallHandler
+import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.RelayServer
+import cassiaspindle.transport.relay.ResponseHead
+import cassiaspindle.transport.relay.RunnerConnections
+import cassiaspindle.transport.relay.answerWhole
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import io.ktor.network.selector.SelectorManager
+import io.ktor.server.application.ApplicationCall
+import io.micrometer.core.instrument.Gauge
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
+
+private const val PRESENCE_MILLISECONDS = 400L
+private const val DISCOVER_MILLISECONDS = 300L
+private const val PLACEMENT_MILLISECONDS = 250L
+private const val HUB_MILLISECONDS = 250L
+private const val LOG_CLOSE_MILLISECONDS = 200L
+private const val MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024
+private const val STATUS_OK = 200
+private const val STATUS_UNAVAILABLE = 503
+
+/** What a relay daemon is started with besides its settings. */
+data class RelayEnvironment(
+    val protocol: RelayProtocol,
+    val clock: Clock,
+    val random: RandomSource,
+    val log: EventLog,
+    /** Called once the disk has failed; the process has to stop. */
+    val onFatal: (Failure) -> Unit,
+)
+
+/** An entry VM: relays requests, answers discovery, hears backend servers, and holds a control replica with a disk. */
+class RelayDaemon private constructor(private val settings: RelaySettings, private val environment: RelayEnvironment) {
+    private val log = environment.log
+    private val clock = environment.clock
+    private val protocol = environment.protocol
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val timer: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { task ->
+        Thread(task, "relay-timer").apply { isDaemon = true }
+    }
+    private val metrics = Metrics()
+    private val incarnation = clock.wallMilliseconds()
+    private val draining = AtomicBoolean()
+    private val peerSettings = PeerSettings(
+        settings.peerAddress,
+        settings.systemKey,
+        MAXIMUM_FRAME_BYTES,
+        onSent = metrics::countPeerBytes,
+    )
+    private val state = FleetState(log, clock.monotonicMilliseconds, protocol.operators.readConfiguration)
+    private val link = FleetLink(peerSettings, selector, scope, LinkHandlers(state::take) { peer, frame -> core.heard(peer, frame) })
+    private val core: CoreMember = CoreMember(CoreParts(settings, environment, peerSettings, state, link, scope))
+    private val connections = RunnerConnections(selector, clock.monotonicMilliseconds)
+    private val placement = PlacementRunner(
+        PlacementParts(state, connections, protocol.backEnds, log, clock.monotonicMilliseconds, core::leads),
+        scope,
+    )
+    private val desk = relayDesk()
+    private val controlDesk = ControlDesk(protocol.operators, link, state, log)
+    private val discoveryDesk = DiscoveryDesk(protocol.callers, state, settings.discoveryLifetimeMilliseconds)
+    private val server: RelayServer by lazy { RelayServer.start(handlers()) }
+
+    /** Whether callers may be sent here. */
+    val isReady: Boolean get() = !draining.get() && state.configuration.version > 0
+
+    /** Serves for as long as the grace time allows, out of discovery, then stops. */
+    fun close() {
+        draining.set(true)
+        desk.drain()
+        log.write("stopping", "in_flight" to desk.inFlight)
+        link.tell(presence())
+        DrainWait(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds, clock).await { desk.inFlight }
+        timer.shutdownNow()
+        server.close()
+        core.close()
+        scope.cancel()
+        selector.close()
+        log.write("stopped", "in_flight" to desk.inFlight)
+        log.close(LOG_CLOSE_MILLISECONDS)
+    }
+
+    private fun begin() {
+        Gauge.builder("cassiaspindle.requests.in.flight", desk) { it.inFlight.toDouble() }.register(metrics.registry)
+        Gauge.builder("cassiaspindle.runner.connections.opened", connections) { it.opened.toDouble() }
+            .register(metrics.registry)
+        Gauge.builder("cassiaspindle.log.dropped", log) { it.dropped.toDouble() }.register(metrics.registry)
+        core.start()
+        server
+        every(DISCOVER_MILLISECONDS, core::discover)
+        every(PRESENCE_MILLISECONDS) { link.tell(presence()) }
+        every(PLACEMENT_MILLISECONDS, placement::tick)
+        every(HUB_MILLISECONDS, core::tickHub)
+        log.write(
+            "started",
+            "name" to settings.name,
+            "zone" to settings.availabilityZone,
+            "replica" to (settings.dataFolder != null),
+            "founds" to settings.foundsSystem,
+            "seeds" to settings.seedPeerAddresses,
+        )
+    }
+
+    /** A task that fails is logged and goes on: the timer would drop it without a word. */
+    private fun every(milliseconds: Long, task: () -> Unit) {
+        val guarded = Runnable {
+            runCatching(task).onFailure { log.write("task_failed", "reason" to it.toString()) }
+        }
+        timer.scheduleWithFixedDelay(guarded, 0, milliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun presence() = EntryPresence(
+        name = settings.peerAddress,
+        incarnation = incarnation,
+        availabilityZone = settings.availabilityZone,
+        callerAddress = settings.callerAddress,
+        ready = isReady,
+        configurationVersion = state.configuration.version,
+        fleetDigest = digestOf(state.runners.digest(), state.entries.entries),
+    )
+
+    private fun relayDesk(): RelayDesk {
+        val suspicions = SuspicionTable()
+        val loads = LoadTable()
+        val sharers = { maxOf(1, state.entries.entries.count { it.availabilityZone == settings.availabilityZone }) }
+        val knowledge = RouteKnowledge(state.runners, suspicions, loads, sharers)
+        val relay = RequestRelay(
+            RelayParts(
+                choice = BackEndChoice(knowledge, settings.availabilityZone, environment.random),
+                attempts = AttemptRunner(connections, protocol.backEnds, settings.stallMilliseconds),
+                suspicions = suspicions,
+                loads = loads,
+                budget = RetryBudget { state.entries.entries.size },
+                protocol = protocol.callers,
+                log = log,
+                metrics = metrics,
+                now = clock.monotonicMilliseconds,
+            ),
+        )
+        val admission = RequestAdmission(state.configuration, environment.random)
+        return RelayDesk(DeskParts(admission, relay, protocol.callers, log, metrics))
+    }
+
+    private fun handlers(): Map<HostAndPort, CallHandler> = listOfNotNull(
+        HostAndPort.parse(settings.callerAddress) to desk::serve,
+        HostAndPort.parse(settings.readyAddress) to ::answerReady,
+        HostAndPort.parse(settings.controlAddress) to controlDesk::serve,
+        HostAndPort.parse(settings.discoveryAddress) to discoveryDesk::serve,
+        settings.metricsAddress?.let { HostAndPort.parse(it) to ::answerMetrics },
+    ).toMap()
+
+    private suspend fun answerReady(call: ApplicationCall) {
+        val status = if (isReady) STATUS_OK else STATUS_UNAVAILABLE
+        call.answerWhole(ResponseHead(status, reason = "", emptyList()), ByteArray(0))
+    }
+
+    private suspend fun answerMetrics(call: ApplicationCall) {
+        val text = listOf(Header("Content-Type", "text/plain"))
+        call.answerWhole(ResponseHead(STATUS_OK, reason = "OK", text), metrics.registry.scrape().encodeToByteArray())
+    }
+
+    /** Starting. */
+    companion object {
+        /** Starts an entry VM; fails with a numbered code. */
+        fun start(settings: RelaySettings, environment: RelayEnvironment): Result<RelayDaemon, Failure> {
+            val daemon = RelayDaemon(settings, environment)
+            return daemon.core.open().map { daemon.apply { begin() } }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ReplicaHost.kt
@@ -0,0 +1,129 @@
+package cassiaspindle.daemon.relay.control
+
+import cassiaspindle.control.group.ControlNode
+import cassiaspindle.control.group.ControlNodeSettings
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.time.Clock
+import cassiaspindle.daemon.control.DurableHandlers
+import cassiaspindle.daemon.control.DurableWriter
+import cassiaspindle.daemon.control.EffectPerformer
+import cassiaspindle.daemon.control.IdentityChoice
+import cassiaspindle.daemon.control.Outgoing
+import cassiaspindle.replication.GroupImage
+import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.RelaySettings
+import cassiaspindle.schema.Replica
+import cassiaspindle.storage.DataFolder
+import cassiaspindle.storage.DurableLog
+import cassiaspindle.storage.GroupReplay
+import cassiaspindle.storage.OpenedLog
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+import java.nio.file.Path
+
+/** Silence after which a replica asks for an election, in milliseconds. */
+private const val ELECTION_TIMEOUT_MILLISECONDS = 900L
+
+/** Entries after which the log is replaced by a snapshot: an entry holds a whole configuration. */
+private const val SNAPSHOT_EVERY_ENTRIES = 16
+
+/** Most replicas with a vote. */
+private const val MAXIMUM_VOTERS = 5
+
+/** What a replica needs of the process that holds it. */
+data class ReplicaEnvironment(
+    val clock: Clock,
+    val random: RandomSource,
+    /** Sends a frame to the replica at a peer address; must not wait. */
+    val send: (peer: String, PeerFrame) -> Unit,
+    /** Peer addresses of the other replicas, as far as they are known. */
+    val replicas: () -> Set<String>,
+    /** Called after each call of the replica; must not wait. */
+    val onPerformed: (ControlNode) -> Unit,
+    /** The disk failed; the process has to stop. */
+    val onFatal: (Failure) -> Unit,
+)
+
+/** The control replica of a machine with a disk. */
+class ReplicaHost private constructor(
+    settings: RelaySettings,
+    private val environment: ReplicaEnvironment,
+    private val folder: DataFolder,
+    private val opened: OpenedLog,
+) {
+    /** Its name and the identity of its disk. */
+    val self = Replica(settings.peerAddress, folder.identity())
+
+    /** Settles whether it founds the system or joins it. */
+    val identityChoice = IdentityChoice(self, settings.seedPeerAddresses, settings.foundsSystem)
+
+    /** Calls the decisions. */
+    val performer = EffectPerformer(environment.clock, Outgoing(environment.send, toEntries = {}), environment.onPerformed)
+    private val writer = DurableWriter(
+        opened.log,
+        DurableHandlers(
+            onDurable = performer::durable,
+            images = { performer.node?.images().orEmpty() },
+            onFailure = environment.onFatal,
+        ),
+    )
+
+    /** Begins where the log left off, or once the beginning is settled. */
+    fun start() {
+        val beginning = folder.beginning()
+        if (beginning != null) {
+            run(beginning)
+        } else {
+            identityChoice.beginning.thenAccept {
+                folder.writeBeginning(it)
+                run(it)
+            }
+            identityChoice.decide()
+        }
+    }
+
+    /** Whether the beginning is not settled yet. */
+    val isUnsettled: Boolean get() = performer.node == null
+
+    /** Writes what waits and gives the folder back. */
+    fun close() {
+        if (performer.node != null) writer.close()
+        folder.close()
+    }
+
+    private fun run(beginning: GroupMembership) {
+        val replay = GroupReplay(beginning)
+        opened.records.forEach(replay::add)
+        val replayed = replay.result(0)
+        val nodeSettings = ControlNodeSettings(
+            self = self,
+            names = { environment.replicas().toList() },
+            electionTimeoutMilliseconds = ELECTION_TIMEOUT_MILLISECONDS,
+            entryLeaseMilliseconds = ELECTION_TIMEOUT_MILLISECONDS,
+            orderRetentionMilliseconds = ELECTION_TIMEOUT_MILLISECONDS,
+            snapshotEveryEntries = SNAPSHOT_EVERY_ENTRIES,
+            maximumVoters = MAXIMUM_VOTERS,
+        )
+        val image = GroupImage(replayed.hardState, replayed.snapshot, replayed.entries)
+        performer.begin(ControlNode(nodeSettings, listOf(image), environment.random, performer.now(), writer::add))
+        writer.start()
+    }
+
+    /** Opening. */
+    companion object {
+        /** Time between two ticks, in milliseconds. */
+        const val TICK_MILLISECONDS = 100L
+
+        /** Opens the data folder [folder] and reads the log; fails with a numbered code. */
+        fun open(
+            settings: RelaySettings,
+            folder: String,
+            environment: ReplicaEnvironment,
+        ): Result<ReplicaHost, Failure> = DataFolder.open(Path.of(folder)).flatMap { opened ->
+            DurableLog.open(opened.files).map { ReplicaHost(settings, environment, opened, it) }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetLink.kt
@@ -0,0 +1,145 @@
+package cassiaspindle.daemon.relay.fleet
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.EntryPresence
+import cassiaspindle.schema.FleetNews
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.PeerFrameKind
+import cassiaspindle.schema.RunnerNotice
+import cassiaspindle.transport.peer.HostAndPort
+import cassiaspindle.transport.peer.PeerClient
+import cassiaspindle.transport.peer.PeerSettings
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+
+private const val REPLY_MILLISECONDS = 700L
+private const val RETRY_MILLISECONDS = 50L
+
+/** What an entry VM hears from control replicas, as function types; they must not wait. */
+data class LinkHandlers(
+    val onNews: (FleetNews) -> Unit,
+    val onPresence: (peer: String, frame: PeerFrame) -> Unit,
+)
+
+/** Connections of this process to the control replicas, and to the seeds while no replica is known. */
+class FleetLink(
+    private val settings: PeerSettings,
+    private val selector: SelectorManager,
+    private val scope: CoroutineScope,
+    private val handlers: LinkHandlers,
+) {
+    private val links = ConcurrentHashMap<String, Link>()
+    private val waiting = ConcurrentHashMap<Long, CompletableDeferred<PeerFrame>>()
+    private val members = AtomicReference<Set<String>>(emptySet())
+    private val leader = AtomicReference<String?>(null)
+    private val nextCorrelation = AtomicLong()
+    private val nextLink = AtomicInteger()
+
+    /** Peer addresses of the control replicas, as far as they are known. */
+    val replicas: Set<String> get() = members.get()
+
+    /** Keeps connections to [targets] and to no others; [replicas] are the control replicas among them. */
+    fun connectTo(targets: Set<String>, replicas: Set<String>) {
+        members.set(replicas)
+        (targets - links.keys).forEach(::open)
+        (links.keys - targets).forEach { gone -> links.remove(gone)?.job?.cancel() }
+    }
+
+    /** Sends [frame] to [peer]; false where it is lost. */
+    fun send(peer: String, frame: PeerFrame): Boolean = links[peer]?.client?.send(frame) ?: false
+
+    /** Sends [frame] to everyone connected. */
+    fun sendToAll(frame: PeerFrame) = links.values.forEach { it.client.send(frame) }
+
+    /** Tells the control replicas about this entry VM. */
+    fun tell(presence: EntryPresence) {
+        val frame = PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = presence)
+        members.get().forEach { send(it, frame) }
+    }
+
+    /** Tells all control replicas of [notice]; the number of them that have it within [timeoutMilliseconds]. */
+    suspend fun tell(notice: RunnerNotice, needed: Int, timeoutMilliseconds: Long): Int {
+        val asked = members.get().mapNotNull { peer ->
+            val (correlation, reply) = expect()
+            val frame = PeerFrame(PeerFrameKind.RUNNER_NOTICE, correlation = correlation, runnerNotice = notice)
+            if (send(peer, frame)) reply else null.also { waiting.remove(correlation) }
+        }
+        val held = AtomicInteger()
+        withTimeoutOrNull(timeoutMilliseconds) {
+            val enough = CompletableDeferred<Unit>()
+            if (needed <= 0) enough.complete(Unit)
+            asked.forEach { reply ->
+                reply.invokeOnCompletion { if (held.incrementAndGet() >= needed) enough.complete(Unit) }
+            }
+            enough.await()
+        }
+        return held.get()
+    }
+
+    /** Has [command] decided by the leader; tries again until [timeoutMilliseconds] are over, then gives null. */
+    suspend fun submit(command: ControlCommand, timeoutMilliseconds: Long): CommandOutcome? =
+        withTimeoutOrNull(timeoutMilliseconds) {
+            var outcome = ask(command)
+            while (outcome == null) {
+                delay(RETRY_MILLISECONDS)
+                outcome = ask(command)
+            }
+            outcome
+        }
+
+    private suspend fun ask(command: ControlCommand): CommandOutcome? {
+        val target = leader.get() ?: inTurn() ?: return null
+        val (correlation, reply) = expect()
+        val sent = send(target, PeerFrame(PeerFrameKind.COMMAND, correlation = correlation, command = command))
+        val answer = if (sent) withTimeoutOrNull(REPLY_MILLISECONDS) { reply.await() } else null
+        waiting.remove(correlation)
+        val outcome = answer?.outcome
+        val undecided = outcome == null || outcome.code in UNDECIDED
+        leader.set(if (undecided) answer?.leader?.takeIf { it != target } else target)
+        return outcome?.takeUnless { undecided }
+    }
+
+    private fun expect(): Pair<Long, CompletableDeferred<PeerFrame>> {
+        val correlation = nextCorrelation.incrementAndGet()
+        val reply = CompletableDeferred<PeerFrame>()
+        waiting[correlation] = reply
+        return correlation to reply
+    }
+
+    private fun inTurn(): String? {
+        val connected = members.get().filter { links[it]?.client?.isConnected == true }.sorted()
+        return if (connected.isEmpty()) null else connected[Math.floorMod(nextLink.getAndIncrement(), connected.size)]
+    }
+
+    private fun open(peer: String) {
+        val client = PeerClient(peer, HostAndPort.parse(peer), settings, selector) { heard(peer, it) }
+        links[peer] = Link(client, client.start(scope))
+    }
+
+    private fun heard(peer: String, frame: PeerFrame) {
+        frame.fleetNews?.let(handlers.onNews)
+        when (frame.kind) {
+            PeerFrameKind.PRESENCE -> handlers.onPresence(peer, frame)
+            PeerFrameKind.COMMAND_REPLY, PeerFrameKind.RUNNER_NOTICE_REPLY ->
+                waiting.remove(frame.correlation)?.complete(frame)
+            else -> Unit
+        }
+    }
+
+    private data class Link(val client: PeerClient, val job: Job)
+
+    private companion object {
+        /** Codes after which the same command is sent again. */
+        val UNDECIDED = setOf(ResultCode.NOT_LEADER.number, ResultCode.LEADERSHIP_LOST.number)
+    }
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -0,0 +1,64 @@
+package cassiaspindle.daemon.relay.fleet
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.relay.configuration.ConfigurationInForce
+import cassiaspindle.relay.configuration.RouteTable
+import cassiaspindle.relay.fleet.EntryList
+import cassiaspindle.relay.fleet.RunnerTable
+import cassiaspindle.schema.FleetNews
+import cassiaspindle.schema.RelayConfiguration
+import cassiaspindle.schema.RunnerNotice
+import cassiaspindle.schema.StoredConfiguration
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+
+/** What this process knows of the fleet and of the configuration. */
+class FleetState(
+    private val log: EventLog,
+    private val now: () -> Long,
+    private val readConfiguration: (String) -> Result<RelayConfiguration, Failure>,
+) {
+    /** The configuration in force. */
+    val configuration = ConfigurationInForce()
+
+    /** The backend servers. */
+    val runners = RunnerTable()
+
+    /** The entry VMs. */
+    val entries = EntryList()
+
+    /** Takes [news] of a control replica. */
+    fun take(news: FleetNews) {
+        news.configuration?.let(::take)
+        news.runners.forEach { take(it) }
+        if (news.presencesKnown) entries.replace(news.entryPresences)
+    }
+
+    /** Takes what a backend server said; true where it changes what decisions depend on. */
+    fun take(notice: RunnerNotice): Boolean {
+        val changed = runners.offer(notice, now())
+        if (changed) {
+            log.write(
+                "runner_changed",
+                "runner" to notice.id,
+                "address" to notice.address,
+                "state" to notice.state,
+                "sequence" to notice.sequence,
+                "layers" to "${notice.firstLayer}-${notice.endLayer}",
+            )
+        }
+        return changed
+    }
+
+    /** Puts [stored] in force where it is newer. */
+    fun take(stored: StoredConfiguration) {
+        if (stored.version <= configuration.version) return
+        readConfiguration(stored.content)
+            .onSuccess { if (configuration.offer(RouteTable(it))) log.write("configuration_in_force", "version" to it.version) }
+            .onFailure {
+                log.write("configuration_unreadable", "version" to stored.version, "detail" to it.detail)
+            }
+    }
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/RelayProtocol.kt
@@ -0,0 +1,54 @@
+package cassiaspindle.daemon.relay.protocol
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.relay.placement.OrderResult
+import cassiaspindle.relay.placement.PlacementOrder
+import cassiaspindle.schema.RelayConfiguration
+import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.RequestHead
+import cassiaspindle.transport.relay.ResponseHead
+import cassiaspindle.transport.relay.WholeRequest
+import com.github.michaelbull.result.Result
+
+/** How callers and backend servers speak with an entry VM, as function types; an adapter gives them. */
+data class RelayProtocol(
+    val callers: CallerProtocol,
+    val backEnds: BackEndProtocol,
+    val operators: OperatorProtocol,
+)
+
+/** How callers speak. */
+data class CallerProtocol(
+    /** Decodes a request. */
+    val readRequest: (RequestHead) -> Result<CallerRequest, Failure>,
+    /** The zone that a discovery request names, or a failure where it is no discovery request. */
+    val readDiscovery: (RequestHead) -> Result<String?, Failure>,
+    /** The body of a discovery answer. */
+    val writeDiscovery: (addresses: List<String>, lifetimeMilliseconds: Long) -> String,
+    /** Headers of an own answer to the request called id: when to come back. */
+    val refusalHeaders: (id: String?, retryAfterMilliseconds: Long?) -> List<Header>,
+)
+
+/** How backend servers are spoken to. */
+data class BackEndProtocol(
+    /** Encodes a request with its body. */
+    val writeRequest: (CallerRequest, RunnerCall, ByteArray) -> WholeRequest,
+    /** Decodes the start of an answer. */
+    val readAnswer: (ResponseHead) -> RunnerAnswer,
+    /** Encodes an order. */
+    val writeOrder: (PlacementOrder) -> WholeRequest,
+    /** What an answer to an order says. */
+    val readOrderResult: (ResponseHead) -> OrderResult,
+    /** Encodes a question for the state of the backend server at an address. */
+    val writeReportRequest: (address: String) -> WholeRequest,
+    /** The number of orders that a state tells. */
+    val readOrderCount: (body: ByteArray) -> Result<Long, Failure>,
+)
+
+/** How operators and announcing backend servers speak. */
+data class OperatorProtocol(
+    /** Decodes a call; its body is read only where it announces. */
+    val readCall: (head: RequestHead, body: ByteArray) -> ControlCall,
+    /** Decodes a configuration. */
+    val readConfiguration: (text: String) -> Result<RelayConfiguration, Failure>,
+)
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -0,0 +1,145 @@
+package cassiaspindle.daemon.relay.request
+
+import cassiaspindle.daemon.relay.protocol.BackEndProtocol
+import cassiaspindle.daemon.relay.protocol.CallerRequest
+import cassiaspindle.daemon.relay.protocol.RunnerAnswer
+import cassiaspindle.daemon.relay.protocol.RunnerCall
+import cassiaspindle.relay.request.AttemptFailure
+import cassiaspindle.transport.relay.RunnerConnection
+import cassiaspindle.transport.relay.RunnerConnections
+import cassiaspindle.transport.relay.WholeRequest
+import io.ktor.http.cio.ParserException
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+
+/** Largest answer that is kept in memory, in bytes. */
+private const val MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
+
+/** Pause between two events after which a stream counts as broken, beyond the time that runners wait themselves. */
+private const val SILENCE_MARGIN_MILLISECONDS = 500L
+
+/** What a caller sent and where it goes. */
+internal data class Sending(
+    val request: CallerRequest,
+    val body: ByteArray,
+    val call: RunnerCall,
+    /** Host and port of the backend server. */
+    val address: String,
+) {
+    override fun equals(other: Any?): Boolean = this === other
+
+    override fun hashCode(): Int = System.identityHashCode(this)
+}
+
+/** How an attempt ended, or how far it came. */
+internal sealed interface Attempt {
+    /** The whole answer is there. */
+    class Whole(val answer: RunnerAnswer, val body: ByteArray) : Attempt
+
+    /** The first event is there. */
+    class Streaming(val open: OpenAnswer) : Attempt
+
+    /** It failed; [answer] is what the backend server said, where it said anything whole. */
+    class Failed(
+        val failure: AttemptFailure,
+        val reason: String,
+        val faultAt: String?,
+        val answer: Whole? = null,
+    ) : Attempt
+}
+
+/** Sends requests to backend servers and reads the beginnings of their answers. */
+internal class AttemptRunner(
+    private val connections: RunnerConnections,
+    private val protocol: BackEndProtocol,
+    private val stallMilliseconds: Long,
+) {
+    /**
+     * Makes one attempt and hands its result to [use]; the connection is kept or closed afterwards, and closed where
+     * the caller goes away.
+     */
+    suspend fun <Result> attempt(sending: Sending, use: suspend (Attempt) -> Result): Result {
+        var connection: RunnerConnection? = null
+        var keep: Long? = null
+        try {
+            val opened = openFor(sending)
+            connection = opened
+            val attempt = if (opened == null) notSent(sending) else exchange(opened, sending)
+            val result = use(attempt)
+            keep = opened?.takeIf { it.isDone }?.let { keepTime(attempt) }
+            return result
+        } finally {
+            val idle = keep
+            if (idle != null) connection?.let { connections.keep(it, idle) } else connection?.close()
+        }
+    }
+
+    private suspend fun openFor(sending: Sending): RunnerConnection? = connections.takeKept(sending.address) ?: try {
+        connections.open(sending.address)
+    } catch (_: IOException) {
+        null
+    }
+
+    private fun notSent(sending: Sending) =
+        Attempt.Failed(AttemptFailure.NotSent, reason = "no_connection", faultAt = sending.address)
+
+    private suspend fun exchange(connection: RunnerConnection, sending: Sending): Attempt = try {
+        val request: WholeRequest = protocol.writeRequest(sending.request, sending.call, sending.body)
+        withTimeoutOrNull(sending.call.leftMilliseconds) {
+            connection.send(request)
+            receive(connection, sending)
+        } ?: broken(sending, "no_answer_in_time")
+    } catch (problem: IOException) {
+        broken(sending, "connection_broke:${problem.javaClass.simpleName}")
+    } catch (problem: ParserException) {
+        broken(sending, "no_http_answer:${problem.javaClass.simpleName}")
+    }
+
+    private suspend fun receive(connection: RunnerConnection, sending: Sending): Attempt {
+        val answer = protocol.readAnswer(connection.readHead())
+        return when {
+            answer.requestId != null && answer.requestId != sending.request.id -> broken(sending, "foreign_answer")
+            answer.isSuccess && !answer.isTrustworthy() -> broken(sending, "unsigned_success")
+            answer.isSuccess && answer.isEventStream -> startStream(connection, answer, sending)
+            else -> readWhole(connection, answer, sending)
+        }
+    }
+
+    private fun RunnerAnswer.isTrustworthy() = isSigned && requestId != null && !isEncoded
+
+    private suspend fun startStream(connection: RunnerConnection, answer: RunnerAnswer, sending: Sending): Attempt {
+        val open = OpenAnswer(answer, connection, stallMilliseconds + SILENCE_MARGIN_MILLISECONDS)
+        return if (open.awaitEvent()) Attempt.Streaming(open) else broken(sending, "stream_without_events")
+    }
+
+    private suspend fun readWhole(connection: RunnerConnection, answer: RunnerAnswer, sending: Sending): Attempt {
+        val whole = Attempt.Whole(answer, connection.readWholeBody(MAXIMUM_ANSWER_BYTES))
+        return when {
+            answer.isSuccess -> whole
+            answer.isNotRun -> failedAs(AttemptFailure.NotRun, whole, sending)
+            else -> failedAs(AttemptFailure.Broken, whole, sending)
+        }
+    }
+
+    private fun failedAs(failure: AttemptFailure, whole: Attempt.Whole, sending: Sending): Attempt.Failed {
+        val faultAt = whole.answer.faultAt ?: sending.address.takeIf { whole.answer.isNotRun }
+        return Attempt.Failed(failure, reason = "status_${whole.answer.status}", faultAt, whole)
+    }
+
+    private fun broken(sending: Sending, reason: String) =
+        Attempt.Failed(AttemptFailure.Broken, reason, faultAt = sending.address)
+
+    private fun keepTime(attempt: Attempt): Long? {
+        val answer = when (attempt) {
+            is Attempt.Whole -> attempt.answer
+            is Attempt.Streaming -> attempt.open.answer
+            is Attempt.Failed -> attempt.answer?.answer
+        }
+        return answer?.takeUnless { it.closes }?.let { it.idleMilliseconds ?: DEFAULT_IDLE_MILLISECONDS }
+    }
+
+    private companion object {
+        /** Time that an idle connection is kept where the backend server does not say, in milliseconds. */
+        const val DEFAULT_IDLE_MILLISECONDS = 3_000L
+    }
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/DiscoveryDesk.kt
@@ -0,0 +1,41 @@
+package cassiaspindle.daemon.relay.request
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.daemon.relay.fleet.FleetState
+import cassiaspindle.daemon.relay.protocol.CallerProtocol
+import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.ResponseHead
+import cassiaspindle.transport.relay.answerWhole
+import cassiaspindle.transport.relay.requestHead
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.ktor.server.application.ApplicationCall
+
+/** Tells callers which entry VMs to use. */
+internal class DiscoveryDesk(
+    private val protocol: CallerProtocol,
+    private val state: FleetState,
+    private val lifetimeMilliseconds: Long,
+) {
+    /** Serves one call. */
+    suspend fun serve(call: ApplicationCall) {
+        protocol.readDiscovery(call.requestHead())
+            .onSuccess { zone -> answer(call, zone) }
+            .onFailure { call.answer(Refusal(it.code, id = null), protocol, emptyList()) }
+    }
+
+    private suspend fun answer(call: ApplicationCall, zone: String?) {
+        val addresses = state.entries.addresses(zone)
+        if (addresses.isEmpty()) {
+            call.answer(Refusal(ResultCode.ENTRY_CUT_OFF, id = null), protocol, emptyList())
+        } else {
+            val body = protocol.writeDiscovery(addresses, lifetimeMilliseconds).encodeToByteArray()
+            val status = statusOf(ResultCode.OK)
+            call.answerWhole(ResponseHead(status.value, status.description, JSON), body)
+        }
+    }
+
+    private companion object {
+        val JSON = listOf(Header("Content-Type", "application/json"))
+    }
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/OpenAnswer.kt
@@ -0,0 +1,41 @@
+package cassiaspindle.daemon.relay.request
+
+import cassiaspindle.daemon.relay.protocol.RunnerAnswer
+import cassiaspindle.transport.relay.EventSplitter
+import cassiaspindle.transport.relay.RunnerConnection
+import cassiaspindle.transport.relay.StreamEvent
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.EOFException
+import kotlinx.io.IOException
+
+/** A stream of events that a backend server has begun, read event by event. */
+internal class OpenAnswer(
+    val answer: RunnerAnswer,
+    private val connection: RunnerConnection,
+    /** Silence after which the stream counts as broken, in milliseconds. */
+    private val silenceMilliseconds: Long,
+) {
+    private val splitter = EventSplitter()
+    private val ready = ArrayDeque<StreamEvent>()
+
+    /** Reads until an event is whole; false where the stream ends before. */
+    suspend fun awaitEvent(): Boolean {
+        while (ready.isEmpty()) {
+            val bytes = readSome() ?: return false
+            ready.addAll(splitter.take(bytes))
+        }
+        return true
+    }
+
+    /** The next whole event, or null after the last one; throws [IOException] where the stream breaks off. */
+    suspend fun nextEvent(): StreamEvent? = if (awaitEvent()) ready.removeFirst() else null
+
+    private suspend fun readSome(): ByteArray? {
+        val read = withTimeoutOrNull(silenceMilliseconds) { Read(connection.readBody()) }
+            ?: throw IOException("no event within $silenceMilliseconds ms")
+        if (read.bytes == null && splitter.holdsPart) throw EOFException("the stream ended within an event")
+        return read.bytes
+    }
+
+    private class Read(val bytes: ByteArray?)
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayDesk.kt
@@ -0,0 +1,102 @@
+package cassiaspindle.daemon.relay.request
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.daemon.relay.protocol.CallerProtocol
+import cassiaspindle.daemon.relay.protocol.CallerRequest
+import cassiaspindle.transport.http.server.Metrics
+import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.RequestHead
+import cassiaspindle.transport.relay.all
+import cassiaspindle.transport.relay.readBody
+import cassiaspindle.transport.relay.requestHead
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.ktor.server.application.ApplicationCall
+import kotlinx.coroutines.CancellationException
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Bytes of a header line beside its name and value. */
+private const val HEADER_OVERHEAD_BYTES = 4
+private const val DEFAULT_HEADER_BYTES = 16_384
+private const val DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+
+/** What the desk for callers works with. */
+internal data class DeskParts(
+    val admission: RequestAdmission,
+    val relay: RequestRelay,
+    val protocol: CallerProtocol,
+    val log: EventLog,
+    val metrics: Metrics,
+)
+
+/** Takes the requests of callers: reads and checks them, relays them, and answers for what can't be relayed. */
+internal class RelayDesk(private val parts: DeskParts) {
+    private val draining = AtomicBoolean()
+    private val inFlightCount = AtomicInteger()
+
+    /** Requests in flight. */
+    val inFlight: Int get() = inFlightCount.get()
+
+    /** From now on answers ask callers to go elsewhere. */
+    fun drain() = draining.set(true)
+
+    /** Headers that ask the caller to close the connection, while this entry VM stops. */
+    fun closing(): List<Header> = if (draining.get()) listOf(Header("Connection", "close")) else emptyList()
+
+    /** Serves one request. */
+    suspend fun serve(call: ApplicationCall) {
+        inFlightCount.incrementAndGet()
+        val head = call.requestHead()
+        try {
+            take(call, head)
+        } catch (gone: CancellationException) {
+            parts.log.write("caller_gone", "target" to head.target)
+            throw gone
+        } finally {
+            inFlightCount.decrementAndGet()
+        }
+    }
+
+    private suspend fun take(call: ApplicationCall, head: RequestHead) {
+        val limits = parts.admission.limits()
+        val read = parts.protocol.readRequest(head)
+        val request = read.get()
+        val contradicts = head.headers.all("content-length").distinct().size > 1
+        val headerBytes = head.headers.sumOf { it.name.length + it.value.length + HEADER_OVERHEAD_BYTES }
+        when {
+            request == null -> refuse(call, Refusal(read.getError()?.code ?: ResultCode.MALFORMED, id = null), "unreadable")
+            contradicts -> refuse(call, Refusal(ResultCode.MALFORMED, request.id), "several_lengths")
+            headerBytes > (limits?.maximumHeaderBytes ?: DEFAULT_HEADER_BYTES) ->
+                refuse(call, Refusal(ResultCode.HEADERS_TOO_LARGE, request.id), "header_bytes=$headerBytes")
+            else -> takeBody(call, request, limits?.maximumBodyBytes ?: DEFAULT_BODY_BYTES)
+        }
+    }
+
+    private suspend fun takeBody(call: ApplicationCall, request: CallerRequest, maximumBytes: Int) {
+        val body = call.readBody(maximumBytes)
+        if (body == null) {
+            refuse(call, Refusal(ResultCode.TOO_LARGE, request.id), "limit=$maximumBytes")
+            return
+        }
+        parts.admission.admit(request)
+            .onSuccess { parts.relay.relay(call, it, body, closing()) }
+            .onFailure { refuse(call, Refusal(it.code, request.id), it.detail) }
+    }
+
+    private suspend fun refuse(call: ApplicationCall, refusal: Refusal, detail: String) {
+        parts.metrics.count(refusal.code)
+        parts.log.write(
+            "request_refused",
+            "request" to refusal.id,
+            "code" to refusal.code.number,
+            "name" to refusal.code,
+            "detail" to detail,
+            "configuration" to parts.admission.version(),
+        )
+        call.answer(refusal, parts.protocol, closing())
+    }
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestAdmission.kt
@@ -0,0 +1,50 @@
+package cassiaspindle.daemon.relay.request
+
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.core.identity.Digest
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.daemon.relay.protocol.CallerRequest
+import cassiaspindle.relay.configuration.ConfigurationInForce
+import cassiaspindle.relay.configuration.RouteTable
+import cassiaspindle.schema.RelayAccount
+import cassiaspindle.schema.RelayLimits
+import cassiaspindle.schema.RelayRoute
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+
+/** A request that the configuration allows, with what it says of it. */
+internal data class Admitted(
+    val request: CallerRequest,
+    val table: RouteTable,
+    val route: RelayRoute,
+    val service: String,
+    /** The client account, or null for an anonymous request. */
+    val account: RelayAccount?,
+)
+
+/** Decides by the configuration in force whether a request is allowed, and which service it goes to. */
+internal class RequestAdmission(private val inForce: ConfigurationInForce, private val random: RandomSource) {
+    /** Admits [request], or gives the numbered reason why not. */
+    fun admit(request: CallerRequest): Result<Admitted, Failure> {
+        val table = inForce.table
+        val route = table?.route(request.host, request.path)
+        val account = request.key?.let { table?.account(Digest.of(it)) }
+        return when {
+            table == null -> Err(Failure(ResultCode.ENTRY_CUT_OFF, "no configuration is in force here yet"))
+            route == null -> Err(Failure(ResultCode.UNKNOWN_PATH, "no route"))
+            table.asksForKeys && !route.anonymous && account == null -> Err(Failure(ResultCode.UNAUTHENTICATED))
+            else -> Ok(Admitted(request, table, route, serviceOf(table, route), account))
+        }
+    }
+
+    /** The limits of the configuration in force, or null before the first. */
+    fun limits(): RelayLimits? = inForce.table?.configuration?.limits
+
+    /** The version in force. */
+    fun version(): Long = inForce.version
+
+    private fun serviceOf(table: RouteTable, route: RelayRoute): String =
+        table.serviceAt(route, random(table.weightOf(route)))
+}
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlNode.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlNode.kt
@@ -18,14 +18,18 @@
 /** What a control replica is told at start; times in milliseconds. */
 data class ControlNodeSettings(
     val self: Replica,
-    /** Names of all control replicas. */
-    val names: List<String>,
+    /** Names of the control replicas to ask to be taken in. */
+    val names: () -> List<String>,
     val electionTimeoutMilliseconds: Long,
     val entryLeaseMilliseconds: Long,
     val orderRetentionMilliseconds: Long,
     val snapshotEveryEntries: Int,
+    /** Most voters of a group; further replicas follow without a vote. */
+    val maximumVoters: Int = MAXIMUM_VOTERS,
 )
 
+private const val MAXIMUM_VOTERS = 7
+
 /** Group that holds the service documents; the groups after it hold orders. */
 const val DOCUMENT_GROUP = 0
 
@@ -49,6 +53,7 @@
             self = settings.self,
             electionTimeoutMilliseconds = settings.electionTimeoutMilliseconds,
             snapshotEveryEntries = settings.snapshotEveryEntries,
+            maximumVoters = settings.maximumVoters,
         )
         val group = ReplicaGroup(replication, images[index], machine.functions(), random, startedMilliseconds)
         GroupShard(index, group, machine, sink)
@@ -63,20 +68,20 @@
     /** Takes a message of a peer. */
     fun receive(message: ReplicationMessage, nowMilliseconds: Long): List<ControlEffect> {
         if (message.group !in 0 until shards.size) return emptyList()
-        return shards.withIndex(message.group) { it.effectsOf(it.group.receive(message, nowMilliseconds)) }
+        return shards.withIndex(message.group) { it.effectsOf(it.group.receive(message, nowMilliseconds), nowMilliseconds) }
     }
 
     /** Does what is due in all groups. */
     fun tick(nowMilliseconds: Long): List<ControlEffect> = shards.mapEach { shard ->
-        val joins = shard.group.joinRequests(settings.names).map(ControlEffect::Send)
-        val effects = shard.effectsOf(shard.group.tick(nowMilliseconds))
+        val joins = shard.group.joinRequests(settings.names()).map(ControlEffect::Send)
+        val effects = shard.effectsOf(shard.group.tick(nowMilliseconds), nowMilliseconds)
         shard.noteLeadership(nowMilliseconds)
         joins + effects
     }.flatten()
 
     /** Reports that the work that carried [mark] is synced. */
     fun persisted(group: Int, mark: DurableMark, nowMilliseconds: Long): List<ControlEffect> =
-        shards.withIndex(group) { it.effectsOf(it.group.persisted(mark, nowMilliseconds)) }
+        shards.withIndex(group) { it.effectsOf(it.group.persisted(mark, nowMilliseconds), nowMilliseconds) }
 
     /**
      * Proposes [command]; the answer comes as [ControlEffect.Answer] under [ticket].
@@ -90,7 +95,13 @@
         wallMilliseconds: Long,
     ): List<ControlEffect> {
         val stamped = command.copy(intent = command.intent?.copy(atMilliseconds = wallMilliseconds))
-        return shards.withIndex(groupOf(command)) { it.submit(stamped, ticket, nowMilliseconds) }
+        return shards.withIndex(groupOf(command)) {
+            if (command.kind == ControlCommandKind.READ_CONFIGURATION) {
+                it.readConfiguration(ticket, nowMilliseconds)
+            } else {
+                it.submit(stamped, ticket, nowMilliseconds)
+            }
+        }
     }
 
     /** The state for operators. */
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
@@ -8,6 +8,7 @@
 import cassiaspindle.schema.OrderName
 import cassiaspindle.schema.OrderRecord
 import cassiaspindle.schema.OrderState
+import cassiaspindle.schema.StoredConfiguration
 import cassiaspindle.schema.StoredDocument
 
 /** Reads of the replicated state. */
@@ -20,6 +21,13 @@
     fun document(service: String): StoredDocument? =
         shards.withIndex(DOCUMENT_GROUP) { it.machine.documents.find(service) }
 
+    /** The newest configuration that this replica has applied; older than a commit it has not heard of yet. */
+    fun appliedConfiguration(): StoredConfiguration? =
+        shards.withIndex(DOCUMENT_GROUP) { it.machine.configurations.newest }
+
+    /** Whether this replica leads group 0, as far as it knows. */
+    fun leads(): Boolean = shards.withIndex(DOCUMENT_GROUP) { it.group.leads }
+
     /** The accepted versions of [service]; the caller checks [canReadDocuments]. */
     fun history(service: String): DocumentHistory =
         shards.withIndex(DOCUMENT_GROUP) { DocumentHistory(service, it.machine.documents.history(service)) }
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlStateMachine.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlStateMachine.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.control.group
 
+import cassiaspindle.control.configuration.ConfigurationRegistry
 import cassiaspindle.control.document.DocumentRegistry
 import cassiaspindle.control.ledger.OrderLedger
 import cassiaspindle.core.result.ResultCode
@@ -14,13 +15,16 @@
     /** The service documents. */
     val documents = DocumentRegistry()
 
+    /** The relay configuration. */
+    val configurations = ConfigurationRegistry()
+
     /** The orders. */
     val orders = OrderLedger(retentionMilliseconds)
 
     /** The state as the function types that replication takes. */
     fun functions() = StateMachine(
         apply = ::apply,
-        capture = { orders.capture(documents.capture(GroupState())) },
+        capture = { configurations.capture(orders.capture(documents.capture(GroupState()))) },
         restore = ::restore,
     )
 
@@ -28,11 +32,14 @@
         ControlCommandKind.APPLY_DOCUMENT -> command.document?.let { documents.apply(it, command.digest.orEmpty()) }
         ControlCommandKind.RECORD_INTENT -> command.intent?.let(orders::recordIntent)
         ControlCommandKind.RECORD_OUTCOME -> command.resolution?.let(orders::recordOutcome)
-        ControlCommandKind.NO_OPERATION, ControlCommandKind.CHANGE_MEMBERSHIP -> CommandOutcome(ResultCode.OK.number)
+        ControlCommandKind.APPLY_CONFIGURATION -> command.configuration?.let(configurations::apply)
+        ControlCommandKind.NO_OPERATION, ControlCommandKind.CHANGE_MEMBERSHIP, ControlCommandKind.READ_CONFIGURATION ->
+            CommandOutcome(ResultCode.OK.number)
     } ?: CommandOutcome(ResultCode.MALFORMED.number)
 
     private fun restore(state: GroupState) {
         documents.restore(state)
         orders.restore(state)
+        configurations.restore(state)
     }
 }
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/FirstStart.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/FirstStart.kt
@@ -20,9 +20,10 @@
  *
  * Every data folder has an identity of its own, and a system is founded by identities. A replica founds it once it has
  * heard the identity of every other one; one that hears of a founded system belongs to it only where its own identity
- * is among the voters. A repaired VM has a new identity and joins without a vote.
+ * is among the voters. A repaired VM has a new identity and joins without a vote. A named process without a data folder
+ * has no identity and is no founder; one that [mayFound] does not allow waits until it hears of a founded system.
  */
-class FirstStart(private val self: Replica, private val names: List<String>) {
+class FirstStart(private val self: Replica, private val names: List<String>, private val mayFound: Boolean = true) {
     private val heard = mutableMapOf(self.name to self)
     private var founded: GroupMembership? = null
 
@@ -39,7 +40,8 @@
         return when {
             known != null && self in known.voters -> FirstStartDecision.Found(known)
             known != null -> FirstStartDecision.Join
-            heard.keys.containsAll(names) -> FirstStartDecision.Found(GroupMembership(names.map(heard::getValue)))
+            mayFound && self.name in names && heard.keys.containsAll(names) ->
+                FirstStartDecision.Found(GroupMembership(names.map(heard::getValue).filter { it.identity.isNotEmpty() }))
             else -> FirstStartDecision.Wait
         }
     }
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/GroupShard.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/GroupShard.kt
@@ -16,6 +16,7 @@
     private val sink: DurableSink,
 ) {
     private val waiting = mutableMapOf<Long, WaitingCommand>()
+    private val waitingReads = mutableListOf<WaitingRead>()
 
     /** When this replica was first seen to lead without a break, or null. */
     var leadsSinceMilliseconds: Long? = null
@@ -31,14 +32,35 @@
             Proposal.ChangePending -> listOf(refusal(ticket, ResultCode.MEMBERSHIP_CHANGE_PENDING))
             is Proposal.Accepted -> {
                 waiting[proposal.index] = WaitingCommand(proposal.term, ticket)
-                effectsOf(proposal.output)
+                effectsOf(proposal.output, nowMilliseconds)
             }
         }
 
-    fun effectsOf(output: ReplicationOutput): List<ControlEffect> {
+    /** Answers with the newest configuration once a round sent after now has confirmed that this replica leads. */
+    fun readConfiguration(ticket: Long, nowMilliseconds: Long): List<ControlEffect> {
+        if (!group.leads) return listOf(refusal(ticket, ResultCode.NOT_LEADER))
+        waitingReads += WaitingRead(nowMilliseconds, ticket)
+        return answerReads(nowMilliseconds)
+    }
+
+    fun effectsOf(output: ReplicationOutput, nowMilliseconds: Long): List<ControlEffect> {
         output.durable?.let { sink(index, it) }
         val lost = if (group.leads) emptyList() else loseAll(output.applied)
-        return output.messages.map(ControlEffect::Send) + output.applied.flatMap(::effectsOfApplied) + lost
+        val applied = output.applied.flatMap(::effectsOfApplied)
+        return output.messages.map(ControlEffect::Send) + applied + lost + answerReads(nowMilliseconds)
+    }
+
+    private fun answerReads(nowMilliseconds: Long): List<ControlEffect> {
+        val answered = waitingReads.filter { !group.leads || group.confirmedSince(it.askedMilliseconds, nowMilliseconds) }
+        waitingReads.removeAll(answered)
+        return answered.map { read ->
+            if (group.leads) {
+                val newest = machine.configurations.newest
+                ControlEffect.Answer(read.ticket, CommandOutcome(ResultCode.OK.number, configuration = newest))
+            } else {
+                refusal(read.ticket, ResultCode.NOT_LEADER)
+            }
+        }
     }
 
     private fun effectsOfApplied(applied: AppliedCommand): List<ControlEffect> {
@@ -65,5 +87,7 @@
     private fun refusal(ticket: Long, code: ResultCode) =
         ControlEffect.Answer(ticket, CommandOutcome(code.number), group.leader?.name)
 
+    private data class WaitingRead(val askedMilliseconds: Long, val ticket: Long)
+
     private data class WaitingCommand(val term: Long, val ticket: Long)
 }
--- /dev/null
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/configuration/ConfigurationCheck.kt
@@ -0,0 +1,43 @@
+package cassiaspindle.relay.configuration
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.RelayConfiguration
+import cassiaspindle.schema.RelayRoute
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+
+/** Whether [configuration] contradicts itself; [ResultCode.CONFIGURATION_INVALID] with the first contradiction. */
+fun checkConfiguration(configuration: RelayConfiguration): Result<RelayConfiguration, Failure> {
+    val problem = sequenceOf(::routeProblem, ::placeProblem, ::keyProblem).firstNotNullOfOrNull { it(configuration) }
+    return if (problem == null) Ok(configuration) else Err(Failure(ResultCode.CONFIGURATION_INVALID, problem))
+}
+
+private fun routeProblem(configuration: RelayConfiguration): String? {
+    val services = configuration.services.map { it.name }.toSet()
+    return configuration.routes.firstNotNullOfOrNull { routeProblem(it, services) }
+}
+
+private fun routeProblem(route: RelayRoute, services: Set<String>): String? = when {
+    route.timeoutMilliseconds <= 0 -> "route ${route.name}: the timeout is not positive"
+    route.targets.sumOf { it.weight.toLong() } <= 0 -> "route ${route.name}: the weights add up to nothing"
+    route.targets.any { it.weight < 0 } -> "route ${route.name}: a weight is negative"
+    route.targets.any { it.service !in services } -> "route ${route.name}: it names an unknown service"
+    else -> null
+}
+
+private fun placeProblem(configuration: RelayConfiguration): String? = configuration.routes
+    .groupBy { it.host to it.pathPrefix }
+    .values
+    .firstOrNull { it.size > 1 }
+    ?.let { "routes ${it[0].name} and ${it[1].name} share host and path" }
+
+private fun keyProblem(configuration: RelayConfiguration): String? {
+    val owners = mutableMapOf<String, String>()
+    return configuration.accounts.firstNotNullOfOrNull { account ->
+        account.keyDigests
+            .firstOrNull { owners.getOrPut(it) { account.name } != account.name }
+            ?.let { "client accounts ${owners[it]} and ${account.name} share a key" }
+    }
+}
--- /dev/null
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
@@ -0,0 +1,61 @@
+package cassiaspindle.relay.request
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.RelayRoute
+import cassiaspindle.schema.RelayRouteKind
+
+/** How an attempt at a backend server ended without a whole answer. */
+sealed interface AttemptFailure {
+    /** No byte of the request left for the backend server. */
+    data object NotSent : AttemptFailure
+
+    /** The backend server states that it did not run the request. */
+    data object NotRun : AttemptFailure
+
+    /** The connection or the answer broke after the request was sent. */
+    data object Broken : AttemptFailure
+
+    /** The answer broke after events had been passed on. */
+    data class BrokenStream(val lastEventId: String?) : AttemptFailure
+}
+
+/** What follows a failed attempt. */
+sealed interface NextStep {
+    /** Send the request to another backend server; a stream goes on after [lastEventId]. */
+    data class Repeat(val lastEventId: String?) : NextStep
+
+    /** Give up with a final answer. */
+    data class GiveUp(val code: ResultCode) : NextStep
+
+    /** End the stream so that it does not look complete. */
+    data object BreakOff : NextStep
+}
+
+/** What an attempt decision depends on. */
+data class AttemptSituation(
+    val route: RelayRoute,
+    /** Attempts made so far. */
+    val attempts: Int,
+    /** Whether an attempt so far may have run the request. */
+    val mayHaveRun: Boolean,
+    /** Time left, in milliseconds. */
+    val leftMilliseconds: Long,
+)
+
+/** Whether a request on [route] may run more than once. */
+internal fun mayRepeat(route: RelayRoute): Boolean =
+    route.kind == RelayRouteKind.IDEMPOTENT || (route.kind == RelayRouteKind.STREAM && route.resumable)
+
+/** Decides what follows [failure]; [spend] takes a repeat from the budget and is asked last. */
+fun afterFailure(failure: AttemptFailure, situation: AttemptSituation, spend: () -> Boolean): NextStep {
+    val notRun = failure == AttemptFailure.NotRun || failure == AttemptFailure.NotSent
+    val allowed = notRun || mayRepeat(situation.route)
+    val room = situation.attempts < situation.route.maximumAttempts || failure == AttemptFailure.NotSent
+    val repeats = allowed && room && situation.leftMilliseconds > 0 && (failure == AttemptFailure.NotSent || spend())
+    return when {
+        repeats -> NextStep.Repeat((failure as? AttemptFailure.BrokenStream)?.lastEventId)
+        failure is AttemptFailure.BrokenStream -> NextStep.BreakOff
+        notRun && !situation.mayHaveRun -> NextStep.GiveUp(ResultCode.OVERLOADED)
+        else -> NextStep.GiveUp(ResultCode.BACK_END_LOST)
+    }
+}
--- /dev/null
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
@@ -0,0 +1,110 @@
+package cassiaspindle.relay.route
+
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.relay.fleet.RunnerTable
+import cassiaspindle.schema.EngineDescription
+import cassiaspindle.schema.RunnerNotice
+import java.util.concurrent.atomic.AtomicReference
+
+/** How often chains are looked for again while the fleet stays the same, in milliseconds; suspicions run out. */
+private const val CHAIN_LIFETIME_MILLISECONDS = 250L
+
+/** What a request asks of a service. */
+data class RouteQuestion(
+    val service: String,
+    /** The model that the runners of the service hold, or null for a plain service. */
+    val engine: EngineDescription?,
+    /** Tokens of prompt and answer. */
+    val tokens: Int,
+    /** Addresses that this request has tried. */
+    val tried: Set<String>,
+    val nowMilliseconds: Long,
+)
+
+/** Where a request goes. */
+data class RouteChoice(
+    /** The backend server that takes the request. */
+    val backEnd: RunnerNotice,
+    /** The whole chain, or null at a plain service. */
+    val chain: LayerChain?,
+) {
+    /** Names of all backend servers that take part. */
+    val ids: List<String> get() = chain?.hops?.map { it.runner.id } ?: listOf(backEnd.id)
+}
+
+/** Why a request has no place. */
+enum class NoRoute { NO_BACK_END, NO_ROOM }
+
+/** What is known when a choice is made. */
+data class RouteKnowledge(
+    val runners: RunnerTable,
+    val suspicions: SuspicionTable,
+    val loads: LoadTable,
+    /** Number of entry VMs that send to the same backend servers, this one too. */
+    val sharers: () -> Int,
+)
+
+/** Chooses backend servers for requests: a whole chain for a model, one instance for a plain service. */
+class BackEndChoice(
+    private val knowledge: RouteKnowledge,
+    private val availabilityZone: String,
+    private val random: RandomSource,
+) {
+    private val chains = AtomicReference<Map<String, ZoneChains>>(emptyMap())
+
+    /** The choice for [question], or why there is none. */
+    fun choose(question: RouteQuestion): Pair<RouteChoice?, NoRoute> {
+        val engine = question.engine
+        return if (engine == null) chooseInstance(question) to NoRoute.NO_BACK_END else chooseChain(question, engine)
+    }
+
+    private fun chooseInstance(question: RouteQuestion): RouteChoice? {
+        val untried = usable(question).filter { it.address !in question.tried }
+        val trusted = untried.filterNot { isSuspect(it, question) }.ifEmpty { untried }
+        return trusted
+            .map { Candidate(it, knowledge.loads.at(it.id).requests, random(Int.MAX_VALUE)) }
+            .minWithOrNull(compareBy({ it.load }, { it.runner.availabilityZone != availabilityZone }, { it.lot }))
+            ?.let { RouteChoice(it.runner, chain = null) }
+    }
+
+    private fun chooseChain(question: RouteQuestion, engine: EngineDescription): Pair<RouteChoice?, NoRoute> {
+        val untried = chainsOf(question, engine).filter { it.first.address !in question.tried }
+        val chain = untried.firstOrNull { hasRoom(it, question.tokens) }
+        val reason = if (untried.isEmpty()) NoRoute.NO_BACK_END else NoRoute.NO_ROOM
+        return chain?.let { RouteChoice(it.first, it) } to reason
+    }
+
+    private fun hasRoom(chain: LayerChain, tokens: Int): Boolean = chain.hops.all { hop ->
+        (knowledge.loads.at(hop.runner.id).tokens + tokens).toLong() * knowledge.sharers() <= chain.roomTokens
+    }
+
+    /** The chain of the own zone, those of other zones, and one over all zones, as far as there are any. */
+    private fun chainsOf(question: RouteQuestion, engine: EngineDescription): List<LayerChain> {
+        val held = chains.get()[question.service]
+        val revision = knowledge.runners.revision
+        val isFresh = held != null && held.revision == revision &&
+            question.nowMilliseconds - held.foundMilliseconds < CHAIN_LIFETIME_MILLISECONDS
+        if (held != null && isFresh) return held.chains
+        val found = ZoneChains(revision, question.nowMilliseconds, findChains(question, engine))
+        chains.updateAndGet { it + (question.service to found) }
+        return found.chains
+    }
+
+    private fun findChains(question: RouteQuestion, engine: EngineDescription): List<LayerChain> {
+        val trusted = usable(question).filterNot { isSuspect(it, question) }
+        val zones = trusted.groupBy(RunnerNotice::availabilityZone)
+        val near = zones[availabilityZone]?.let { findChain(it, engine) }
+        val others = (zones - availabilityZone).values.mapNotNull { findChain(it, engine) }.sortedBy { it.stepMilliseconds }
+        val whole = listOfNotNull(near) + others
+        return whole.ifEmpty { listOfNotNull(findChain(trusted, engine)) }
+    }
+
+    private fun usable(question: RouteQuestion) = knowledge.runners.usable().filter { it.service == question.service }
+
+    private fun isSuspect(runner: RunnerNotice, question: RouteQuestion) =
+        knowledge.suspicions.isSuspect(runner.address, question.nowMilliseconds)
+
+    private data class ZoneChains(val revision: Long, val foundMilliseconds: Long, val chains: List<LayerChain>)
+
+    private data class Candidate(val runner: RunnerNotice, val load: Int, val lot: Int)
+}
--- /dev/null
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/SuspicionTable.kt
@@ -0,0 +1,35 @@
+package cassiaspindle.relay.route
+
+import cassiaspindle.core.concurrency.Sharded
+
+private const val SHARDS = 4
+
+/** First time that a backend server is avoided after a failure, in milliseconds; doubled by each further failure. */
+private const val SHORTEST_MILLISECONDS = 1_000L
+
+/** Longest time that a backend server is avoided, in milliseconds. */
+private const val LONGEST_MILLISECONDS = 8_000L
+
+/** Backend servers that failed this entry VM lately, sharded by address. */
+class SuspicionTable {
+    private val shards = Sharded(SHARDS) { mutableMapOf<String, Suspicion>() }
+
+    /** Takes a failure of the backend server at [address]; gives the time that it is avoided, in milliseconds. */
+    fun failed(address: String, nowMilliseconds: Long): Long = shards.withKey(address) { suspicions ->
+        val before = suspicions[address]
+        val length = before?.let { minOf(it.lengthMilliseconds * 2, LONGEST_MILLISECONDS) } ?: SHORTEST_MILLISECONDS
+        suspicions[address] = Suspicion(nowMilliseconds + length, length)
+        length
+    }
+
+    /** Takes a success of the backend server at [address]. */
+    fun succeeded(address: String) {
+        shards.withKey(address) { it.remove(address) }
+    }
+
+    /** Whether the backend server at [address] is avoided. */
+    fun isSuspect(address: String, nowMilliseconds: Long): Boolean =
+        shards.withKey(address) { suspicions -> suspicions[address]?.let { nowMilliseconds < it.endMilliseconds } ?: false }
+
+    private data class Suspicion(val endMilliseconds: Long, val lengthMilliseconds: Long)
+}
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
@@ -17,7 +17,10 @@
     val progress = ProgressTable(state)
     private val sender = AppendSender(state)
     private var nextRoundMilliseconds = 0L
-    private var begunMilliseconds = 0L
+
+    /** When this replica began to lead. */
+    var begunMilliseconds = 0L
+        private set
 
     fun begin(nowMilliseconds: Long, output: OutputCollector) {
         state.role = Role.LEADER
@@ -84,6 +87,12 @@
         return state.role == Role.LEADER && runs
     }
 
+    /** Whether a quorum has answered a round sent after [askedMilliseconds]. */
+    fun confirmedSince(askedMilliseconds: Long, nowMilliseconds: Long): Boolean {
+        val round = progress.roundOfQuorum(nowMilliseconds)
+        return state.role == Role.LEADER && round != null && round > askedMilliseconds
+    }
+
     /** Whether this term has committed an entry, so that all earlier commits are applied here. */
     fun hasCommittedInTerm(): Boolean = state.log.termAt(state.commitIndex) == state.term
 
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ProgressTable.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ProgressTable.kt
@@ -50,6 +50,10 @@
         .sortedDescending()
         .getOrNull(state.quorum() - 1)
 
+    /** Whether [voter] has answered no round since [sinceMilliseconds]. */
+    fun isSilent(voter: Replica, sinceMilliseconds: Long): Boolean =
+        voter != state.self && (peers[voter]?.answeredRound ?: 0) < sinceMilliseconds
+
     /** Whether [replica] holds the whole committed log. */
     fun isCaughtUp(replica: Replica): Boolean = (peers[replica]?.matchIndex ?: 0) >= state.commitIndex
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
@@ -39,19 +39,37 @@
     /** Takes the next step on the way of a learner to a vote. */
     fun advance(nowMilliseconds: Long, output: OutputCollector) {
         val ready = state.membership.learners.firstOrNull(leadership.progress::isCaughtUp)
-        if (mayChange && ready != null) change(withoutOldOrWith(ready), nowMilliseconds, output)
+        if (mayChange && ready != null) {
+            nextMembership(ready, nowMilliseconds)?.let { change(it, nowMilliseconds, output) }
+        }
     }
 
-    private fun withoutOldOrWith(ready: Replica): GroupMembership {
+    /** The voter that [ready] stands in for goes first; a replica without one to replace gets a vote up to a limit. */
+    private fun nextMembership(ready: Replica, nowMilliseconds: Long): GroupMembership? {
         val voters = state.membership.voters
-        val old = voters.firstOrNull { it.name == ready.name }
-        return if (old == null) {
-            GroupMembership(voters + ready, state.membership.learners - ready)
-        } else {
-            state.membership.copy(voters = voters - old)
+        val replaced = voters.firstOrNull { it.name == ready.name } ?: lostVoter(nowMilliseconds)
+        return when {
+            replaced != null -> state.membership.copy(voters = voters - replaced)
+            voters.size < state.settings.maximumVoters ->
+                GroupMembership(voters + ready, state.membership.learners - ready)
+            else -> null
         }
     }
 
+    /** A voter that has been silent for so long that it counts as lost; null where removing it would risk the quorum. */
+    private fun lostVoter(nowMilliseconds: Long): Replica? {
+        val since = nowMilliseconds - state.settings.lostAfterMilliseconds
+        val silent = state.membership.voters.filter { leadership.progress.isSilent(it, since) }
+        val leadsSince = leadership.begunMilliseconds
+        val removable = leadsSince < since && state.membership.voters.size > SMALLEST_GROUP - 1
+        return silent.firstOrNull().takeIf { removable }
+    }
+
+    private companion object {
+        /** No voter is given up for lost in a smaller group. */
+        const val SMALLEST_GROUP = 3
+    }
+
     private fun change(membership: GroupMembership, nowMilliseconds: Long, output: OutputCollector) {
         val command = ControlCommand(ControlCommandKind.CHANGE_MEMBERSHIP, membership = membership)
         leadership.append(command, nowMilliseconds, output)
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
@@ -84,6 +84,14 @@
     fun canRead(nowMilliseconds: Long): Boolean =
         leadership.holdsLease(nowMilliseconds) && leadership.hasCommittedInTerm()
 
+    /**
+     * Whether a quorum has answered a round of this leader that was sent after [askedMilliseconds].
+     *
+     * Everything that was committed anywhere before that time is then applied here, whatever the clocks did since.
+     */
+    fun confirmedSince(askedMilliseconds: Long, nowMilliseconds: Long): Boolean =
+        leadership.confirmedSince(askedMilliseconds, nowMilliseconds) && leadership.hasCommittedInTerm()
+
     /** Asks the replicas named [names] to take this one in, where it belongs to no membership it knows of. */
     fun joinRequests(names: List<String>): List<ReplicationMessage> =
         replacement.joinRequests(names, OutputCollector(state))
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
@@ -5,6 +5,8 @@
 private const val DEFAULT_MAXIMUM_ENTRIES_PER_APPEND = 256
 private const val DEFAULT_SNAPSHOT_EVERY_ENTRIES = 2_000
 private const val DEFAULT_CLOCK_DRIFT_PER_MILLE = 20L
+private const val DEFAULT_MAXIMUM_VOTERS = 7
+private const val DEFAULT_LOST_AFTER_MILLISECONDS = 3_000L
 private const val HEARTBEATS_PER_TIMEOUT = 3L
 private const val ONE_IN_PER_MILLE = 1_000L
 
@@ -18,6 +20,10 @@
     val maximumEntriesPerAppend: Int = DEFAULT_MAXIMUM_ENTRIES_PER_APPEND,
     /** Number of applied entries after which the log is replaced by a snapshot. */
     val snapshotEveryEntries: Int = DEFAULT_SNAPSHOT_EVERY_ENTRIES,
+    /** Most voters; further replicas follow without a vote. */
+    val maximumVoters: Int = DEFAULT_MAXIMUM_VOTERS,
+    /** Silence after which a voter counts as lost and a learner may take its place. */
+    val lostAfterMilliseconds: Long = DEFAULT_LOST_AFTER_MILLISECONDS,
 ) {
     /** Time between two rounds of the leader. */
     val heartbeatMilliseconds: Long get() = electionTimeoutMilliseconds / HEARTBEATS_PER_TIMEOUT
--- a/history/src/main/kotlin/cassiaspindle/history/control/SimulatedReplica.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/control/SimulatedReplica.kt
@@ -43,7 +43,7 @@
     fun start(trueMilliseconds: Long) {
         val settings = ControlNodeSettings(
             self = identity,
-            names = names,
+            names = { names },
             electionTimeoutMilliseconds = HistorySettings.ELECTION_TIMEOUT_MILLISECONDS,
             entryLeaseMilliseconds = HistorySettings.ENTRY_LEASE_MILLISECONDS,
             orderRetentionMilliseconds = HistorySettings.RETENTION_MILLISECONDS,
--- /dev/null
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -0,0 +1,147 @@
+package cassiaspindle.transport.relay
+
+import io.ktor.http.HttpMethod
+import io.ktor.http.cio.RequestResponseBuilder
+import io.ktor.http.cio.decodeChunked
+import io.ktor.http.cio.parseResponse
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.availableForRead
+import io.ktor.utils.io.readAvailable
+import io.ktor.utils.io.writePacket
+import io.ktor.utils.io.writer
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancel
+import kotlinx.io.EOFException
+import kotlinx.io.IOException
+import java.io.ByteArrayOutputStream
+
+private const val BUFFER_BYTES = 8_192
+private const val HTTP_VERSION = "HTTP/1.1"
+private const val CONTENT_LENGTH = "content-length"
+private const val TRANSFER_ENCODING = "transfer-encoding"
+
+/** Statuses whose answers have no body. */
+private val BODILESS = setOf(204, 304)
+
+/** How the end of a body is known. */
+internal sealed interface Framing {
+    data class Length(val bytes: Long) : Framing
+
+    data object Chunked : Framing
+
+    data object UntilClose : Framing
+}
+
+/** One connection to a backend server; it carries one exchange at a time. */
+class RunnerConnection internal constructor(
+    private val socket: Socket,
+    /** Host and port of the backend server. */
+    val address: String,
+) {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+    private val decoding = CoroutineScope(Dispatchers.Default)
+    private var framing: Framing = Framing.Length(0)
+    private var decoded: ByteReadChannel? = null
+    private var readBytes = 0L
+    private val buffer = ByteArray(BUFFER_BYTES)
+
+    /** Whether the whole body was read and the connection may carry another exchange. */
+    var isDone = false
+        private set
+
+    /** Whether bytes came, or the end, while no answer was due. */
+    val isSpoiled: Boolean get() = input.isClosedForRead || input.availableForRead > 0
+
+    /** Sends [request]; throws [IOException] where the connection is broken. */
+    suspend fun send(request: WholeRequest) {
+        isDone = false
+        val builder = RequestResponseBuilder()
+        builder.requestLine(HttpMethod(request.head.method), request.head.target, HTTP_VERSION)
+        request.head.headers.forEach { builder.headerLine(it.name, it.value) }
+        builder.emptyLine()
+        if (request.body.isNotEmpty()) builder.bytes(request.body, 0, request.body.size)
+        output.writePacket(builder.build())
+        output.flush()
+    }
+
+    /** Reads the start of the answer; throws [IOException] where there is none. */
+    suspend fun readHead(): ResponseHead {
+        val response = parseResponse(input) ?: throw EOFException("the connection ended before an answer")
+        val headers = response.headers.offsets()
+            .map { Header(response.headers.nameAtOffset(it).toString(), response.headers.valueAtOffset(it).toString()) }
+            .toList()
+        val head = ResponseHead(response.status, response.statusText.toString(), headers)
+        response.release()
+        begin(head)
+        return head
+    }
+
+    /** Reads some bytes of the body, or null after its end; throws [IOException] where it breaks off. */
+    suspend fun readBody(): ByteArray? = when (val frame = framing) {
+        is Framing.Length -> readCounted(frame.bytes)
+        Framing.Chunked -> readDecoded()
+        Framing.UntilClose -> readSome(input)
+    }
+
+    /** Reads the rest of the body; throws [IOException] where it breaks off or is larger than [maximumBytes]. */
+    suspend fun readWholeBody(maximumBytes: Int): ByteArray {
+        val body = ByteArrayOutputStream()
+        var bytes = readBody()
+        while (bytes != null) {
+            body.write(bytes)
+            if (body.size() > maximumBytes) throw IOException("the answer is larger than $maximumBytes bytes")
+            bytes = readBody()
+        }
+        return body.toByteArray()
+    }
+
+    /** Whether the connection can't carry another exchange because the body ended with it. */
+    val endsWithBody: Boolean get() = framing == Framing.UntilClose
+
+    /** Ends the connection; a backend server drops what it still does for it. */
+    fun close() {
+        decoding.cancel()
+        socket.close()
+    }
+
+    private fun begin(head: ResponseHead) {
+        readBytes = 0
+        decoded = null
+        val length = head.headers.all(CONTENT_LENGTH).distinct()
+        framing = when {
+            head.status in BODILESS -> Framing.Length(0)
+            head.headers.first(TRANSFER_ENCODING)?.contains("chunked", ignoreCase = true) == true -> Framing.Chunked
+            length.size > 1 -> throw IOException("the answer has several lengths")
+            length.isEmpty() -> Framing.UntilClose
+            else -> Framing.Length(length.single().toLongOrNull() ?: throw IOException("the length is no number"))
+        }
+    }
+
+    private suspend fun readCounted(bytes: Long): ByteArray? {
+        if (readBytes == bytes) {
+            isDone = true
+            return null
+        }
+        val wanted = minOf(BUFFER_BYTES.toLong(), bytes - readBytes).toInt()
+        val count = input.readAvailable(buffer, 0, wanted)
+        if (count < 0) throw EOFException("the answer ended after $readBytes of $bytes bytes")
+        readBytes += count
+        return buffer.copyOf(count)
+    }
+
+    private suspend fun readDecoded(): ByteArray? {
+        val channel = decoded ?: decoding.writer { decodeChunked(input, channel) }.channel.also { decoded = it }
+        return readSome(channel).also { if (it == null) isDone = true }
+    }
+
+    private suspend fun readSome(channel: ByteReadChannel): ByteArray? {
+        val count = channel.readAvailable(buffer, 0, BUFFER_BYTES)
+        channel.closedCause?.let { throw IOException("the answer broke off", it) }
+        return if (count < 0) null else buffer.copyOf(count)
+    }
+}
--- /dev/null
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnections.kt
@@ -0,0 +1,68 @@
+package cassiaspindle.transport.relay
+
+import cassiaspindle.core.concurrency.Sharded
+import cassiaspindle.transport.peer.HostAndPort
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import java.util.concurrent.atomic.AtomicLong
+
+private const val SHARDS = 8
+private const val CONNECT_MILLISECONDS = 500L
+
+/** Share of the time that a backend server keeps an idle connection after which it is not used again, in percent. */
+private const val USABLE_PERCENT = 60L
+private const val PERCENT = 100L
+
+/** Connections to backend servers, kept while they are idle, sharded by address. */
+class RunnerConnections(private val selector: SelectorManager, private val now: () -> Long) {
+    private val shards = Sharded(SHARDS) { mutableMapOf<String, ArrayDeque<Idle>>() }
+    private val openedCount = AtomicLong()
+
+    /** Connections opened so far. */
+    val opened: Long get() = openedCount.get()
+
+    /** A kept connection to [address], or null. */
+    fun takeKept(address: String): RunnerConnection? {
+        val expired = mutableListOf<RunnerConnection>()
+        val kept = shards.withKey(address) { idle -> idle[address]?.let { takeUsable(it, expired) } }
+        expired.forEach(RunnerConnection::close)
+        return kept
+    }
+
+    /** Opens a connection to [address]; throws [IOException] where that fails or takes too long. */
+    suspend fun open(address: String): RunnerConnection {
+        val target = HostAndPort.parse(address)
+        val socket = withTimeoutOrNull(CONNECT_MILLISECONDS) {
+            aSocket(selector).tcp().connect(target.host, target.port) { noDelay = true }
+        } ?: throw IOException("no connection to $address within $CONNECT_MILLISECONDS ms")
+        openedCount.incrementAndGet()
+        return RunnerConnection(socket, address)
+    }
+
+    /** Keeps [connection] after an exchange; the backend server closes it after [idleMilliseconds]. */
+    fun keep(connection: RunnerConnection, idleMilliseconds: Long) {
+        val usable = idleMilliseconds * USABLE_PERCENT / PERCENT
+        shards.withKey(connection.address) { idle ->
+            idle.getOrPut(connection.address) { ArrayDeque() }.addLast(Idle(connection, now() + usable))
+        }
+    }
+
+    /** Closes all idle connections to [address]. */
+    fun drop(address: String) {
+        val dropped = shards.withKey(address) { it.remove(address) }
+        dropped?.forEach { it.connection.close() }
+    }
+
+    private fun takeUsable(idle: ArrayDeque<Idle>, expired: MutableList<RunnerConnection>): RunnerConnection? {
+        while (idle.isNotEmpty()) {
+            val newest = idle.removeLast()
+            if (newest.endMilliseconds > now() && !newest.connection.isSpoiled) return newest.connection
+            expired += newest.connection
+        }
+        return null
+    }
+
+    private data class Idle(val connection: RunnerConnection, val endMilliseconds: Long)
+}
