--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -88,7 +88,7 @@
         withTimeoutOrNull(sending.call.leftMilliseconds) {
             connection.send(request)
             receive(connection, sending)
-        } ?: broken(sending, "no_answer_in_time")
+        } ?: Attempt.Failed(AttemptFailure.Broken, reason = "no_answer_in_time", faultAt = null)
     } catch (problem: IOException) {
         broken(sending, "connection_broke:${problem.javaClass.simpleName}")
     } catch (problem: ParserException) {
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
@@ -55,6 +55,7 @@
     return when {
         repeats -> NextStep.Repeat((failure as? AttemptFailure.BrokenStream)?.lastEventId)
         failure is AttemptFailure.BrokenStream -> NextStep.BreakOff
+        situation.leftMilliseconds <= 0 -> NextStep.GiveUp(ResultCode.DEADLINE_PASSED)
         notRun && !situation.mayHaveRun -> NextStep.GiveUp(ResultCode.OVERLOADED)
         else -> NextStep.GiveUp(ResultCode.BACK_END_LOST)
     }
