--- a/core/src/main/kotlin/cassiaspindle/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/cassiaspindle/core/result/ResultCode.kt
@@ -34,8 +34,8 @@
     ENTRY_CUT_OFF(number = 114, Execution.NOT_RUN, "The entry VM has no lease from the control replicas."),
     ACCOUNT_LIMIT(number = 115, Execution.NOT_RUN, "The client account has too many requests in flight."),
     ORDER_NOT_RUN(number = 116, Execution.NOT_RUN, "The order was settled as not run."),
-    HEADERS_TOO_LARGE(number = 118, Execution.NOT_RUN, "The headers are larger than the configuration allows."),
     CONTROL_UNREACHABLE(number = 117, Execution.NOT_RUN, "The ledger did not record the order."),
+    HEADERS_TOO_LARGE(number = 118, Execution.NOT_RUN, "The headers are larger than the configuration allows."),
 
     DEADLINE_PASSED(number = 300, Execution.MAY_HAVE_RUN, "The deadline passed after work had begun."),
     BACK_END_LOST(number = 301, Execution.MAY_HAVE_RUN, "A backend server was lost after work had begun."),
@@ -58,8 +58,8 @@
     DOCUMENT_INVALID(number = 403, Execution.NOT_RUN, "The document breaks the schema or contradicts itself."),
     UNKNOWN_DOCUMENT(number = 404, Execution.NOT_RUN, "No document of the service was accepted."),
     UNKNOWN_ORDER(number = 405, Execution.NOT_RUN, "The ledger does not hold the order."),
-    CONFIGURATION_INVALID(number = 407, Execution.NOT_RUN, "The configuration can't be read or contradicts itself."),
     MEMBERSHIP_CHANGE_PENDING(number = 406, Execution.NOT_RUN, "An earlier membership change is not committed yet."),
+    CONFIGURATION_INVALID(number = 407, Execution.NOT_RUN, "The configuration can't be read or contradicts itself."),
 
     SETTINGS_MISSING(number = 500, Execution.NOT_RUN, "The settings file or a key file can't be read."),
     SETTINGS_INVALID(number = 501, Execution.NOT_RUN, "The settings break the schema."),
--- /dev/null
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/configuration/RouteTableTest.kt
@@ -0,0 +1,38 @@
+package cassiaspindle.relay.configuration
+
+import cassiaspindle.relay.configuration
+import cassiaspindle.relay.orderRoute
+import cassiaspindle.relay.streamRoute
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+
+class RouteTableTest : AnnotationSpec() {
+    @Test
+    fun `the longest prefix of the host is chosen`() {
+        val inner = streamRoute.copy(name = "inner", pathPrefix = "/s/deep/")
+        val elsewhere = streamRoute.copy(name = "elsewhere", host = "other")
+        val table = RouteTable(configuration.copy(routes = listOf(streamRoute, inner, elsewhere)))
+        table.route("h", "/s/deep/x") shouldBe inner
+        table.route("h", "/s/other") shouldBe streamRoute
+        table.route("other", "/s/deep/x") shouldBe elsewhere
+        table.route("h", "/x") shouldBe null
+    }
+
+    @Test
+    fun `services get their share of the weights`() {
+        val table = RouteTable(configuration)
+        val services = (0 until table.weightOf(orderRoute)).map { table.serviceAt(orderRoute, it) }
+        services shouldBe listOf("plain", "plain", "plain", "model")
+    }
+
+    @Test
+    fun `a configuration is never replaced by an older or equal one`() {
+        val inForce = ConfigurationInForce()
+        inForce.offer(RouteTable(configuration)) shouldBe true
+        inForce.offer(RouteTable(configuration.copy(routes = emptyList()))) shouldBe false
+        inForce.offer(RouteTable(configuration.copy(version = 6))) shouldBe false
+        inForce.table?.configuration shouldBe configuration
+        inForce.offer(RouteTable(configuration.copy(version = 9))) shouldBe true
+        inForce.version shouldBe 9
+    }
+}
--- /dev/null
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/PlacementControllerTest.kt
@@ -0,0 +1,66 @@
+package cassiaspindle.relay.placement
+
+import cassiaspindle.relay.engine
+import cassiaspindle.relay.holding
+import cassiaspindle.relay.runner
+import cassiaspindle.schema.RunnerNotice
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+
+class PlacementControllerTest : AnnotationSpec() {
+    private val fleet = listOf(runner("l1", "large"), runner("l2", "large"))
+    private val controller = PlacementController()
+
+    @BeforeEach
+    fun forget() = controller.reset()
+
+    private fun due(runners: List<RunnerNotice>, at: Long) = controller.due(runners, engine, at)
+
+    @Test
+    fun `nothing is ordered before the fleet has settled`() {
+        due(fleet, 0).shouldBeEmpty()
+        due(fleet + runner("l3", "large"), 1_000).shouldBeEmpty()
+        due(fleet + runner("l3", "large"), 2_499).shouldBeEmpty()
+        due(fleet + runner("l3", "large"), 2_500) shouldHaveSize 3
+    }
+
+    @Test
+    fun `a runner has one order outstanding`() {
+        due(fleet, 0)
+        val orders = due(fleet, 2_000)
+        orders shouldHaveSize 2
+        orders.forEach { controller.answered(it, OrderResult.ACCEPTED, 2_010) }
+        due(fleet, 2_250).shouldBeEmpty()
+    }
+
+    @Test
+    fun `an order without an answer is asked about before another one`() {
+        due(fleet, 0)
+        val order = due(fleet, 2_000).first()
+        controller.answered(order, OrderResult.UNANSWERED, 2_100)
+        due(fleet, 10_000).shouldBeEmpty()
+        controller.inDoubt(16_200).map { it.id } shouldBe listOf(order.runner.id, "l2").distinct()
+        controller.reported(order.runner.id, orders = 1)
+        due(fleet, 16_300).single().expectedOrders shouldBe 1
+    }
+
+    @Test
+    fun `a new leader takes over what runners hold`() {
+        val holding = listOf(fleet[0].holding(0, 41), fleet[1].holding(41, 80))
+        due(holding, 0)
+        due(holding, 2_000).shouldBeEmpty()
+    }
+
+    @Test
+    fun `a runner that started again is ordered anew`() {
+        due(fleet, 0)
+        due(fleet, 2_000).forEach { controller.answered(it, OrderResult.ACCEPTED, 2_000) }
+        val restarted = listOf(fleet[0].copy(bornMilliseconds = 9), fleet[1].holding(40, 80))
+        due(restarted, 4_000)
+        val order = due(restarted, 6_000).single()
+        order.range shouldBe LayerRange(0, 40)
+        order.expectedOrders shouldBe 0
+    }
+}
--- /dev/null
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/request/AttemptDecisionTest.kt
@@ -0,0 +1,69 @@
+package cassiaspindle.relay.request
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.relay.orderRoute
+import cassiaspindle.relay.streamRoute
+import cassiaspindle.schema.RelayRoute
+import cassiaspindle.schema.RelayRouteKind
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+
+class AttemptDecisionTest : AnnotationSpec() {
+    private val read = orderRoute.copy(kind = RelayRouteKind.IDEMPOTENT)
+    private val order = orderRoute.copy(maximumAttempts = 2)
+    private val fixedStream = streamRoute.copy(resumable = false)
+
+    private fun situation(route: RelayRoute, attempts: Int = 1, mayHaveRun: Boolean = true, left: Long = 100) =
+        AttemptSituation(route, attempts, mayHaveRun, left)
+
+    @Test
+    fun `what may be repeated follows from the kind of the route`() {
+        val repeat = NextStep.Repeat(lastEventId = null)
+        val lost = NextStep.GiveUp(ResultCode.BACK_END_LOST)
+        val expected = listOf(
+            Triple(read, AttemptFailure.Broken, repeat),
+            Triple(order, AttemptFailure.Broken, lost),
+            Triple(streamRoute, AttemptFailure.Broken, repeat),
+            Triple(fixedStream, AttemptFailure.Broken, lost),
+            Triple(order, AttemptFailure.NotRun, repeat),
+            Triple(order, AttemptFailure.NotSent, repeat),
+            Triple(streamRoute, AttemptFailure.BrokenStream("4"), NextStep.Repeat("4")),
+            Triple(fixedStream, AttemptFailure.BrokenStream("4"), NextStep.BreakOff),
+        )
+        expected.forEach { (route, failure, step) ->
+            withClue("${route.kind} $failure") { afterFailure(failure, situation(route)) { true } shouldBe step }
+        }
+    }
+
+    @Test
+    fun `a request that never left the entry VM is refused as not run`() {
+        val last = situation(order, attempts = 2, mayHaveRun = false)
+        afterFailure(AttemptFailure.NotRun, last) { true } shouldBe NextStep.GiveUp(ResultCode.OVERLOADED)
+    }
+
+    @Test
+    fun `a request that may have run is never refused as not run`() {
+        val last = situation(read, attempts = 2, mayHaveRun = true)
+        afterFailure(AttemptFailure.NotRun, last) { true } shouldBe NextStep.GiveUp(ResultCode.BACK_END_LOST)
+    }
+
+    @Test
+    fun `nothing is sent again beyond the attempts, the budget and the time`() {
+        val giveUp = NextStep.GiveUp(ResultCode.BACK_END_LOST)
+        afterFailure(AttemptFailure.Broken, situation(read, attempts = 2)) { true } shouldBe giveUp
+        afterFailure(AttemptFailure.Broken, situation(read)) { false } shouldBe giveUp
+        afterFailure(AttemptFailure.Broken, situation(read, left = 0)) { true } shouldBe
+            NextStep.GiveUp(ResultCode.DEADLINE_PASSED)
+    }
+
+    @Test
+    fun `a budget runs out and is earned again by requests`() {
+        val budget = RetryBudget(entries = { 60 })
+        budget.spend("s") shouldBe true
+        budget.spend("s") shouldBe false
+        repeat(11) { budget.earn("s") }
+        budget.spend("s") shouldBe true
+        budget.spend("other") shouldBe true
+    }
+}
--- /dev/null
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/route/LayerChainTest.kt
@@ -0,0 +1,53 @@
+package cassiaspindle.relay.route
+
+import cassiaspindle.relay.engine
+import cassiaspindle.relay.holding
+import cassiaspindle.relay.placement.LayerRange
+import cassiaspindle.relay.runner
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+
+class LayerChainTest : AnnotationSpec() {
+    @Test
+    fun `ranges that overlap are cut so that each layer runs once`() {
+        val runners = listOf(runner("a", "large").holding(0, 41), runner("b", "large").holding(39, 80))
+        val chain = checkNotNull(findChain(runners, engine))
+        chain.hops.map { it.layers }.zipWithNext().all { (one, two) -> one.end == two.first } shouldBe true
+        chain.hops.first().layers.first shouldBe 0
+        chain.hops.last().layers.end shouldBe 80
+    }
+
+    @Test
+    fun `a gap leaves no chain`() {
+        findChain(listOf(runner("a").holding(0, 40), runner("b").holding(41, 80)), engine) shouldBe null
+    }
+
+    @Test
+    fun `every chain covers each layer once and names no runner twice`() {
+        repeat(300) { seed ->
+            val random = Random(seed)
+            val fleet = List(random.nextInt(3, 30)) { index ->
+                val first = random.nextInt(0, 70)
+                runner("r$index", zone = "z${random.nextInt(3)}").holding(first, minOf(80, first + random.nextInt(1, 41)))
+            } + runner("start").holding(0, 10)
+            val chain = findChain(fleet, engine)
+            withClue("seed $seed") {
+                chain?.hops?.flatMap { it.layers.first until it.layers.end } shouldBe chain?.let { (0 until 80).toList() }
+                chain?.hops?.map { it.runner.id }?.distinct()?.size shouldBe chain?.hops?.size
+                chain?.hops?.all { within(it.layers, LayerRange(checkNotNull(it.runner.firstLayer), checkNotNull(it.runner.endLayer))) } shouldBe
+                    chain?.let { true }
+            }
+        }
+    }
+
+    @Test
+    fun `a chain stays within a zone where it can`() {
+        val near = listOf(runner("a").holding(0, 40), runner("b").holding(40, 80))
+        val far = runner("c", "large", "z").holding(40, 80)
+        findChain(near + far, engine)?.hops?.map { it.runner.id } shouldBe listOf("a", "b")
+    }
+
+    private fun within(part: LayerRange, held: LayerRange) = part.first >= held.first && part.end <= held.end
+}
