--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreDesk.kt
@@ -0,0 +1,44 @@
+package cassiaspindle.daemon.relay
+
+import cassiaspindle.daemon.relay.control.ReplicaHost
+import cassiaspindle.daemon.relay.fleet.FleetHub
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.PeerFrameKind
+import cassiaspindle.transport.peer.PeerConnection
+
+/** Answers the frames of other processes; one without a replica only tells what it knows of the replicas. */
+internal class CoreDesk(
+    private val hub: FleetHub,
+    private val replica: () -> ReplicaHost?,
+    private val presence: () -> PeerFrame,
+    private val onPresence: (peer: String, frame: PeerFrame) -> Unit,
+) {
+    /** Takes [frame]. */
+    fun received(connection: PeerConnection, frame: PeerFrame) {
+        if (frame.kind == PeerFrameKind.PRESENCE) {
+            onPresence(frame.sender.orEmpty(), frame)
+            connection.send(presence())
+        }
+        replica()?.let { serve(it, connection, frame) }
+    }
+
+    private fun serve(replica: ReplicaHost, connection: PeerConnection, frame: PeerFrame) {
+        frame.replication?.let(replica.performer::receive)
+        frame.entryPresence?.let { hub.heard(connection, it) }
+        frame.runnerNotice?.let {
+            hub.heard(it)
+            connection.send(PeerFrame(PeerFrameKind.RUNNER_NOTICE_REPLY, correlation = frame.correlation))
+        }
+        frame.command?.let { command ->
+            replica.performer.submit(command) { outcome, leader -> connection.send(reply(frame, outcome, leader)) }
+        }
+    }
+
+    private fun reply(asked: PeerFrame, outcome: CommandOutcome, leader: String?) = PeerFrame(
+        kind = PeerFrameKind.COMMAND_REPLY,
+        correlation = asked.correlation,
+        outcome = outcome,
+        leader = leader,
+    )
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
@@ -2,21 +2,18 @@
 
 import cassiaspindle.control.group.ControlNode
 import cassiaspindle.core.result.Failure
-import cassiaspindle.core.result.ResultCode
 import cassiaspindle.daemon.relay.control.ReplicaEnvironment
 import cassiaspindle.daemon.relay.control.ReplicaHost
 import cassiaspindle.daemon.relay.fleet.FleetHub
 import cassiaspindle.daemon.relay.fleet.FleetLink
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.HubSurroundings
-import cassiaspindle.schema.CommandOutcome
 import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.PeerFrameKind
 import cassiaspindle.schema.RelaySettings
 import cassiaspindle.schema.Replica
 import cassiaspindle.transport.peer.HostAndPort
-import cassiaspindle.transport.peer.PeerConnection
 import cassiaspindle.transport.peer.PeerHandlers
 import cassiaspindle.transport.peer.PeerServer
 import cassiaspindle.transport.peer.PeerSettings
@@ -25,8 +22,8 @@
 import com.github.michaelbull.result.map
 import kotlinx.coroutines.CoroutineScope
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.TimeUnit
 import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
 
@@ -60,12 +57,16 @@
             heartbeatMilliseconds = settings.heartbeatMilliseconds,
         ),
     )
+    private val desk = CoreDesk(hub, replica = { host.get() }, presence = ::presence, onPresence = ::heard)
     private val server: PeerServer by lazy {
         PeerServer.start(
             HostAndPort.parse(settings.peerAddress),
             parts.peerSettings,
             parts.scope,
-            PeerHandlers(::received, onRefused = { environment.log.write("peer_refused", "code" to it.code.number) }),
+            PeerHandlers(
+                desk::received,
+                onRefused = { environment.log.write("peer_refused", "code" to it.code.number) }
+            ),
         )
     }
 
@@ -100,10 +101,12 @@
     fun discover() {
         parts.link.sendToAll(presence())
         val own = host.get()?.performer?.node?.membership()
-        val members = (memberships.values + listOfNotNull(own)).flatMap { it.voters + it.learners }.map(Replica::name).toSet()
+        val members = (memberships.values + listOfNotNull(own)).flatMap { it.voters + it.learners }.map(
+            Replica::name
+        ).toSet()
         val self = setOfNotNull(settings.peerAddress.takeIf { settings.dataFolder != null })
         val targets = if (members.isEmpty()) settings.seedPeerAddresses.toSet() + self else members + self
-        parts.link.connectTo(targets + unknownSeeds(members), members)
+        parts.link.connectTo(targets, members)
     }
 
     /** Does what is due for the entry VMs and backend servers that report here. */
@@ -124,9 +127,6 @@
         host.get()?.close()
     }
 
-    /** A process that knows no control replica goes on asking the seeds. */
-    private fun unknownSeeds(members: Set<String>) = if (members.isEmpty()) settings.seedPeerAddresses else emptyList()
-
     private fun tick(replica: ReplicaHost) {
         runCatching(replica.performer::tick)
             .onFailure { environment.log.write("task_failed", "reason" to it.toString()) }
@@ -143,28 +143,4 @@
         val newest = node.reads.appliedConfiguration() ?: return
         if (toldVersion.getAndAccumulate(newest.version, ::maxOf) < newest.version) hub.applied(newest)
     }
-
-    private fun received(connection: PeerConnection, frame: PeerFrame) {
-        if (frame.kind == PeerFrameKind.PRESENCE) {
-            heard(frame.sender.orEmpty(), frame)
-            connection.send(presence())
-        }
-        val replica = host.get() ?: return
-        frame.replication?.let(replica.performer::receive)
-        frame.entryPresence?.let { hub.heard(connection, it) }
-        frame.runnerNotice?.let {
-            hub.heard(it)
-            connection.send(PeerFrame(PeerFrameKind.RUNNER_NOTICE_REPLY, correlation = frame.correlation))
-        }
-        frame.command?.let { command ->
-            replica.performer.submit(command) { outcome, leader -> connection.send(reply(frame, outcome, leader)) }
-        }
-    }
-
-    private fun reply(asked: PeerFrame, outcome: CommandOutcome, leader: String?) = PeerFrame(
-        kind = PeerFrameKind.COMMAND_REPLY,
-        correlation = asked.correlation,
-        outcome = outcome,
-        leader = leader,
-    )
 }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/DrainWait.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/DrainWait.kt
@@ -1,8 +1,8 @@
 package cassiaspindle.daemon.relay
 
 import cassiaspindle.core.time.Clock
-import java.util.concurrent.locks.ReentrantLock
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
 /** Callers keep a discovery answer up to this many lifetimes. */
@@ -14,7 +14,7 @@
 /** How often the requests in flight are counted while a process stops, in milliseconds. */
 private const val COUNT_MILLISECONDS = 50L
 
-/** Waits until a stopping entry VM may close: callers have left and nothing is in flight, or the grace time is used up. */
+/** Waits until a stopping entry VM may close: callers have left and nothing is in flight, or the time is used up. */
 internal class DrainWait(
     private val graceMilliseconds: Long,
     private val lifetimeMilliseconds: Long,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -2,7 +2,6 @@
 
 import cassiaspindle.core.concurrency.RandomSource
 import cassiaspindle.core.result.Failure
-import cassiaspindle.core.result.ResultCode
 import cassiaspindle.core.time.Clock
 import cassiaspindle.daemon.relay.control.ControlDesk
 import cassiaspindle.daemon.relay.control.PlacementParts
@@ -89,7 +88,12 @@
         onSent = metrics::countPeerBytes,
     )
     private val state = FleetState(log, clock.monotonicMilliseconds, protocol.operators.readConfiguration)
-    private val link = FleetLink(peerSettings, selector, scope, LinkHandlers(state::take) { peer, frame -> core.heard(peer, frame) })
+    private val link = FleetLink(
+        peerSettings,
+        selector,
+        scope,
+        LinkHandlers(state::take) { peer, frame -> core.heard(peer, frame) }
+    )
     private val core: CoreMember = CoreMember(CoreParts(settings, environment, peerSettings, state, link, scope))
     private val connections = RunnerConnections(selector, clock.monotonicMilliseconds)
     private val placement = PlacementRunner(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ControlDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ControlDesk.kt
@@ -106,7 +106,13 @@
         val limit = if (notice.isUsable) ANNOUNCEMENT_MILLISECONDS else LEAVE_MILLISECONDS
         val held = link.tell(notice, needed, limit)
         if (!notice.isUsable) {
-            log.write("leave_taken", "runner" to notice.id, "state" to notice.state, "held_by" to held, "of" to replicas)
+            log.write(
+                "leave_taken",
+                "runner" to notice.id,
+                "state" to notice.state,
+                "held_by" to held,
+                "of" to replicas
+            )
         }
         call.answer(if (held >= needed && replicas > 0) ResultCode.OK else ResultCode.CONTROL_UNREACHABLE)
     }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ReplicaHost.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ReplicaHost.kt
@@ -61,7 +61,8 @@
     val identityChoice = IdentityChoice(self, settings.seedPeerAddresses, settings.foundsSystem)
 
     /** Calls the decisions. */
-    val performer = EffectPerformer(environment.clock, Outgoing(environment.send, toEntries = {}), environment.onPerformed)
+    val performer =
+        EffectPerformer(environment.clock, Outgoing(environment.send, toEntries = {}), environment.onPerformed)
     private val writer = DurableWriter(
         opened.log,
         DurableHandlers(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetLink.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetLink.kt
@@ -19,7 +19,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
-import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
 
 private const val REPLY_MILLISECONDS = 700L
@@ -39,10 +38,9 @@
     private val handlers: LinkHandlers,
 ) {
     private val links = ConcurrentHashMap<String, Link>()
-    private val waiting = ConcurrentHashMap<Long, CompletableDeferred<PeerFrame>>()
+    private val replies = ReplyDesk()
     private val members = AtomicReference<Set<String>>(emptySet())
     private val leader = AtomicReference<String?>(null)
-    private val nextCorrelation = AtomicLong()
     private val nextLink = AtomicInteger()
 
     /** Peer addresses of the control replicas, as far as they are known. */
@@ -70,9 +68,9 @@
     /** Tells all control replicas of [notice]; the number of them that have it within [timeoutMilliseconds]. */
     suspend fun tell(notice: RunnerNotice, needed: Int, timeoutMilliseconds: Long): Int {
         val asked = members.get().mapNotNull { peer ->
-            val (correlation, reply) = expect()
+            val (correlation, reply) = replies.expect()
             val frame = PeerFrame(PeerFrameKind.RUNNER_NOTICE, correlation = correlation, runnerNotice = notice)
-            if (send(peer, frame)) reply else null.also { waiting.remove(correlation) }
+            if (send(peer, frame)) reply else null.also { replies.forget(correlation) }
         }
         val held = AtomicInteger()
         withTimeoutOrNull(timeoutMilliseconds) {
@@ -99,23 +97,16 @@
 
     private suspend fun ask(command: ControlCommand): CommandOutcome? {
         val target = leader.get() ?: inTurn() ?: return null
-        val (correlation, reply) = expect()
+        val (correlation, reply) = replies.expect()
         val sent = send(target, PeerFrame(PeerFrameKind.COMMAND, correlation = correlation, command = command))
         val answer = if (sent) withTimeoutOrNull(REPLY_MILLISECONDS) { reply.await() } else null
-        waiting.remove(correlation)
+        replies.forget(correlation)
         val outcome = answer?.outcome
         val undecided = outcome == null || outcome.code in UNDECIDED
         leader.set(if (undecided) answer?.leader?.takeIf { it != target } else target)
         return outcome?.takeUnless { undecided }
     }
 
-    private fun expect(): Pair<Long, CompletableDeferred<PeerFrame>> {
-        val correlation = nextCorrelation.incrementAndGet()
-        val reply = CompletableDeferred<PeerFrame>()
-        waiting[correlation] = reply
-        return correlation to reply
-    }
-
     private fun inTurn(): String? {
         val connected = members.get().filter { links[it]?.client?.isConnected == true }.sorted()
         return if (connected.isEmpty()) null else connected[Math.floorMod(nextLink.getAndIncrement(), connected.size)]
@@ -131,7 +122,7 @@
         when (frame.kind) {
             PeerFrameKind.PRESENCE -> handlers.onPresence(peer, frame)
             PeerFrameKind.COMMAND_REPLY, PeerFrameKind.RUNNER_NOTICE_REPLY ->
-                waiting.remove(frame.correlation)?.complete(frame)
+                replies.take(frame)
             else -> Unit
         }
     }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -56,7 +56,14 @@
     fun take(stored: StoredConfiguration) {
         if (stored.version <= configuration.version) return
         readConfiguration(stored.content)
-            .onSuccess { if (configuration.offer(RouteTable(it))) log.write("configuration_in_force", "version" to it.version) }
+            .onSuccess {
+                if (configuration.offer(
+                        RouteTable(it)
+                    )
+                ) {
+                    log.write("configuration_in_force", "version" to it.version)
+                }
+            }
             .onFailure {
                 log.write("configuration_unreadable", "version" to stored.version, "detail" to it.detail)
             }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/log/EventLog.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/log/EventLog.kt
@@ -21,7 +21,13 @@
     fun write(event: String, vararg fields: Pair<String, Any?>) {
         val line = buildString {
             append("at=").append(wallMilliseconds()).append(" event=").append(event)
-            fields.forEach { (key, value) -> if (value != null) append(' ').append(key).append('=').append(quoted(value)) }
+            fields.forEach { (key, value) ->
+                if (value != null) {
+                    append(
+                        ' '
+                    ).append(key).append('=').append(quoted(value))
+                }
+            }
         }
         if (!queue.offer(line)) droppedCount.incrementAndGet()
     }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/CallerRequest.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/CallerRequest.kt
@@ -71,6 +71,9 @@
     /** Whether the body was changed by an encoding that nobody asked for. */
     val isEncoded: Boolean,
 ) {
+    /** Whether a success can be passed on: signed, for a request, with the bytes of the backend server. */
+    val isTrustworthy: Boolean get() = isSigned && requestId != null && !isEncoded
+
     /** Whether it is a success. */
     val isSuccess: Boolean get() = status in SUCCESS
 
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -80,9 +80,6 @@
         null
     }
 
-    private fun notSent(sending: Sending) =
-        Attempt.Failed(AttemptFailure.NotSent, reason = "no_connection", faultAt = sending.address)
-
     private suspend fun exchange(connection: RunnerConnection, sending: Sending): Attempt = try {
         val request: WholeRequest = protocol.writeRequest(sending.request, sending.call, sending.body)
         withTimeoutOrNull(sending.call.leftMilliseconds) {
@@ -99,14 +96,12 @@
         val answer = protocol.readAnswer(connection.readHead())
         return when {
             answer.requestId != null && answer.requestId != sending.request.id -> broken(sending, "foreign_answer")
-            answer.isSuccess && !answer.isTrustworthy() -> broken(sending, "unsigned_success")
+            answer.isSuccess && !answer.isTrustworthy -> broken(sending, "unsigned_success")
             answer.isSuccess && answer.isEventStream -> startStream(connection, answer, sending)
             else -> readWhole(connection, answer, sending)
         }
     }
 
-    private fun RunnerAnswer.isTrustworthy() = isSigned && requestId != null && !isEncoded
-
     private suspend fun startStream(connection: RunnerConnection, answer: RunnerAnswer, sending: Sending): Attempt {
         val open = OpenAnswer(answer, connection, stallMilliseconds + SILENCE_MARGIN_MILLISECONDS)
         return if (open.awaitEvent()) Attempt.Streaming(open) else broken(sending, "stream_without_events")
@@ -121,14 +116,6 @@
         }
     }
 
-    private fun failedAs(failure: AttemptFailure, whole: Attempt.Whole, sending: Sending): Attempt.Failed {
-        val faultAt = whole.answer.faultAt ?: sending.address.takeIf { whole.answer.isNotRun }
-        return Attempt.Failed(failure, reason = "status_${whole.answer.status}", faultAt, whole)
-    }
-
-    private fun broken(sending: Sending, reason: String) =
-        Attempt.Failed(AttemptFailure.Broken, reason, faultAt = sending.address)
-
     private fun keepTime(attempt: Attempt): Long? {
         val answer = when (attempt) {
             is Attempt.Whole -> attempt.answer
@@ -143,3 +130,14 @@
         const val DEFAULT_IDLE_MILLISECONDS = 3_000L
     }
 }
+
+private fun notSent(sending: Sending) =
+    Attempt.Failed(AttemptFailure.NotSent, reason = "no_connection", faultAt = sending.address)
+
+private fun broken(sending: Sending, reason: String) =
+    Attempt.Failed(AttemptFailure.Broken, reason, faultAt = sending.address)
+
+private fun failedAs(failure: AttemptFailure, whole: Attempt.Whole, sending: Sending): Attempt.Failed {
+    val faultAt = whole.answer.faultAt ?: sending.address.takeIf { whole.answer.isNotRun }
+    return Attempt.Failed(failure, reason = "status_${whole.answer.status}", faultAt, whole)
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayDesk.kt
@@ -68,7 +68,11 @@
         val contradicts = head.headers.all("content-length").distinct().size > 1
         val headerBytes = head.headers.sumOf { it.name.length + it.value.length + HEADER_OVERHEAD_BYTES }
         when {
-            request == null -> refuse(call, Refusal(read.getError()?.code ?: ResultCode.MALFORMED, id = null), "unreadable")
+            request == null -> refuse(
+                call,
+                Refusal(read.getError()?.code ?: ResultCode.MALFORMED, id = null),
+                "unreadable"
+            )
             contradicts -> refuse(call, Refusal(ResultCode.MALFORMED, request.id), "several_lengths")
             headerBytes > (limits?.maximumHeaderBytes ?: DEFAULT_HEADER_BYTES) ->
                 refuse(call, Refusal(ResultCode.HEADERS_TOO_LARGE, request.id), "header_bytes=$headerBytes")
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -0,0 +1,153 @@
+package cassiaspindle.daemon.relay.request
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.relay.request.AttemptFailure
+import cassiaspindle.relay.request.AttemptSituation
+import cassiaspindle.relay.request.NextStep
+import cassiaspindle.relay.request.afterFailure
+import cassiaspindle.relay.request.stepOutOfTime
+import cassiaspindle.relay.request.stepWithoutPlace
+import cassiaspindle.relay.route.RouteChoice
+import cassiaspindle.transport.relay.answerStream
+import cassiaspindle.transport.relay.answerWhole
+import io.ktor.server.application.ApplicationCall
+import kotlinx.io.IOException
+
+/** The attempts of one request, one after the other. */
+internal class RelayRun(
+    private val parts: RelayParts,
+    private val call: ApplicationCall,
+    private val relaying: Relaying
+) {
+    private val admitted = relaying.admitted
+    private val request = admitted.request
+    private val lines = RequestLines(parts.log, relaying, parts.now)
+    private val tried = mutableSetOf<String>()
+    private var attempts = 0
+    private var mayHaveRun = false
+
+    /** Gives what is written to the caller's stream, once it has begun. */
+    private var write: (suspend (ByteArray) -> Unit)? = null
+    private var lastEventId = request.lastEventId
+    private var firstEventMilliseconds: Long? = null
+
+    private val left: Long get() = relaying.endMilliseconds - parts.now()
+    private val situation get() = AttemptSituation(admitted.route, attempts, mayHaveRun, left)
+
+    suspend fun run() {
+        var step: NextStep? = attemptOnce()
+        while (step is NextStep.Repeat) {
+            step = attemptOnce()
+        }
+        when (step) {
+            is NextStep.GiveUp -> giveUp(step.code)
+            NextStep.BreakOff -> breakOff()
+            else -> Unit
+        }
+    }
+
+    /** Makes one attempt; null where the request is answered, else what follows. */
+    private suspend fun attemptOnce(): NextStep? {
+        val (choice, reason) = parts.choice.choose(relaying.question(tried, parts.now()))
+        return when {
+            left <= 0 -> stepOutOfTime(isStreaming = write != null)
+            choice == null -> stepWithoutPlace(reason, situation, write != null)
+            else -> attemptAt(choice, left)
+        }
+    }
+
+    private suspend fun attemptAt(choice: RouteChoice, left: Long): NextStep? {
+        tried += choice.backEnd.address
+        attempts++
+        val tokens = request.size.tokens
+        val sending = Sending(
+            request,
+            relaying.body,
+            relaying.callTo(choice, left, lastEventId),
+            choice.backEnd.address
+        )
+        lines.begun(choice, attempts, left, lastEventId)
+        parts.loads.begin(choice.ids, tokens)
+        return try {
+            parts.attempts.attempt(sending) { follow(it, choice) }
+        } finally {
+            parts.loads.end(choice.ids, tokens)
+        }
+    }
+
+    private suspend fun follow(attempt: Attempt, choice: RouteChoice): NextStep? = when (attempt) {
+        is Attempt.Whole -> deliver(attempt, choice)
+        is Attempt.Streaming -> stream(attempt.open, choice)
+        is Attempt.Failed -> failed(attempt, choice)
+    }
+
+    private suspend fun deliver(attempt: Attempt.Whole, choice: RouteChoice): NextStep? {
+        parts.suspicions.succeeded(choice.backEnd.address)
+        call.answerWhole(relaying.headOf(attempt.answer), attempt.body)
+        lines.ended("request_answered", attempts, "status" to attempt.answer.status)
+        return null
+    }
+
+    private suspend fun stream(open: OpenAnswer, choice: RouteChoice): NextStep? {
+        val writing = write
+        if (writing != null) return pump(open, choice, writing)
+        var step: NextStep? = null
+        call.answerStream(relaying.headOf(open.answer)) { writer ->
+            write = writer
+            step = pump(open, choice, writer)
+            while (step is NextStep.Repeat) {
+                step = attemptOnce()
+            }
+            if (step != null) breakOff()
+        }
+        return null
+    }
+
+    /** Passes events on until the stream ends; null where it is whole. */
+    private suspend fun pump(open: OpenAnswer, choice: RouteChoice, writer: suspend (ByteArray) -> Unit): NextStep? {
+        while (true) {
+            val event = try {
+                open.nextEvent() ?: break
+            } catch (problem: IOException) {
+                val failure = AttemptFailure.BrokenStream(lastEventId)
+                val reason = "stream_broke:${problem.message}"
+                return failed(Attempt.Failed(failure, reason, faultAt = null), choice)
+            }
+            writer(event.bytes)
+            if (firstEventMilliseconds == null) firstEventMilliseconds = parts.now() - relaying.begunMilliseconds
+            lastEventId = event.id ?: lastEventId
+        }
+        parts.suspicions.succeeded(choice.backEnd.address)
+        lines.ended(
+            "request_answered",
+            attempts,
+            "first_event_ms" to firstEventMilliseconds,
+            "last_event" to lastEventId
+        )
+        return null
+    }
+
+    private suspend fun failed(attempt: Attempt.Failed, choice: RouteChoice): NextStep? {
+        val notRun = attempt.failure == AttemptFailure.NotRun || attempt.failure == AttemptFailure.NotSent
+        mayHaveRun = mayHaveRun || !notRun
+        if (attempt.failure == AttemptFailure.NotSent) attempts--
+        attempt.faultAt?.let { parts.suspicions.failed(it, parts.now()) }
+        val reached = situation
+        val step = afterFailure(attempt.failure, reached) { parts.budget.spend(admitted.service) }
+        lines.failed(attempt, choice, reached, step)
+        val own = attempt.answer.takeIf { step is NextStep.GiveUp && !notRun }
+        return if (own == null) step else deliver(own, choice)
+    }
+
+    private suspend fun giveUp(code: ResultCode) {
+        parts.metrics.count(code)
+        lines.ended("request_failed", attempts, "code" to code.number, "name" to code)
+        call.answer(Refusal(code, request.id), parts.protocol, relaying.closing)
+    }
+
+    private fun breakOff(): Nothing {
+        parts.metrics.count(ResultCode.BACK_END_LOST)
+        lines.ended("stream_broken_off", attempts, "last_event" to lastEventId)
+        throw IOException("the stream of request ${request.id} can't go on")
+    }
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/Relaying.kt
@@ -0,0 +1,48 @@
+package cassiaspindle.daemon.relay.request
+
+import cassiaspindle.daemon.relay.protocol.RunnerAnswer
+import cassiaspindle.daemon.relay.protocol.RunnerCall
+import cassiaspindle.relay.route.RouteChoice
+import cassiaspindle.relay.route.RouteQuestion
+import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.ResponseHead
+
+/** A request on its way. */
+internal data class Relaying(
+    val admitted: Admitted,
+    val body: ByteArray,
+    /** Headers that ask the caller to go elsewhere. */
+    val closing: List<Header>,
+    val begunMilliseconds: Long,
+) {
+    /** When the caller or the route gives up. */
+    val endMilliseconds: Long
+        get() = begunMilliseconds +
+            minOf(admitted.request.deadlineMilliseconds ?: Long.MAX_VALUE, admitted.route.timeoutMilliseconds)
+
+    /** What a choice of backend servers depends on; [tried] addresses are left out. */
+    fun question(tried: Set<String>, nowMilliseconds: Long) = RouteQuestion(
+        service = admitted.service,
+        engine = admitted.table.engine(admitted.service),
+        tokens = admitted.request.size.tokens,
+        tried = tried,
+        nowMilliseconds = nowMilliseconds,
+    )
+
+    /** What goes to [choice] with the request, for a caller that holds everything up to [lastEventId]. */
+    fun callTo(choice: RouteChoice, leftMilliseconds: Long, lastEventId: String?) = RunnerCall(
+        instance = choice.backEnd.id,
+        account = admitted.account?.name,
+        leftMilliseconds = leftMilliseconds,
+        chain = choice.chain,
+        lastEventId = lastEventId,
+        priority = admitted.account?.priority ?: admitted.route.priority,
+    )
+
+    /** The start of the answer to the caller. */
+    fun headOf(answer: RunnerAnswer) = ResponseHead(answer.status, answer.reason, answer.forwarded + closing)
+
+    override fun equals(other: Any?): Boolean = this === other
+
+    override fun hashCode(): Int = System.identityHashCode(this)
+}
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestLines.kt
@@ -0,0 +1,56 @@
+package cassiaspindle.daemon.relay.request
+
+import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.relay.request.AttemptSituation
+import cassiaspindle.relay.request.NextStep
+import cassiaspindle.relay.route.RouteChoice
+
+/** The log lines of one request: what was decided, and by what. */
+internal class RequestLines(
+    private val log: EventLog,
+    private val relaying: Relaying,
+    private val now: () -> Long,
+) {
+    private val admitted = relaying.admitted
+    private val request = admitted.request
+
+    /** An attempt begins at [choice]. */
+    fun begun(choice: RouteChoice, attempts: Int, left: Long, lastEventId: String?) = log.write(
+        "attempt_begun",
+        "request" to request.id,
+        "route" to admitted.route.name,
+        "service" to admitted.service,
+        "configuration" to admitted.table.configuration.version,
+        "runner" to choice.backEnd.id,
+        "address" to choice.backEnd.address,
+        "runner_sequence" to choice.backEnd.sequence,
+        "hops" to choice.chain?.hops?.size,
+        "tokens" to request.size.tokens,
+        "attempt" to attempts,
+        "left_ms" to left,
+        "after_event" to lastEventId,
+    )
+
+    /** An attempt failed at [choice], and [step] follows. */
+    fun failed(attempt: Attempt.Failed, choice: RouteChoice, situation: AttemptSituation, step: NextStep) = log.write(
+        "attempt_failed",
+        "request" to request.id,
+        "runner" to choice.backEnd.id,
+        "reason" to attempt.reason,
+        "fault_at" to attempt.faultAt,
+        "attempts" to situation.attempts,
+        "may_have_run" to situation.mayHaveRun,
+        "left_ms" to situation.leftMilliseconds,
+        "next" to step,
+    )
+
+    /** The request ended with [event]. */
+    fun ended(event: String, attempts: Int, vararg fields: Pair<String, Any?>) = log.write(
+        event,
+        "request" to request.id,
+        "route" to admitted.route.name,
+        "attempts" to attempts,
+        "took_ms" to now() - relaying.begunMilliseconds,
+        *fields,
+    )
+}
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlNode.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlNode.kt
@@ -68,7 +68,9 @@
     /** Takes a message of a peer. */
     fun receive(message: ReplicationMessage, nowMilliseconds: Long): List<ControlEffect> {
         if (message.group !in 0 until shards.size) return emptyList()
-        return shards.withIndex(message.group) { it.effectsOf(it.group.receive(message, nowMilliseconds), nowMilliseconds) }
+        return shards.withIndex(
+            message.group
+        ) { it.effectsOf(it.group.receive(message, nowMilliseconds), nowMilliseconds) }
     }
 
     /** Does what is due in all groups. */
@@ -116,7 +118,7 @@
         shards.withIndex(DOCUMENT_GROUP) { it.group.status().membership }.takeIf { it.voters.isNotEmpty() }
 
     /** All that must be in the data folder, one image a group. */
-    fun images(): List<GroupImage> = shards.mapEach { it.group.image() }
+    fun images(): List<GroupImage> = shards.mapEach { it.group.image }
 
     private fun groupOf(command: ControlCommand): Int = when (command.kind) {
         ControlCommandKind.RECORD_INTENT -> command.intent?.name
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/FirstStart.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/FirstStart.kt
@@ -41,7 +41,9 @@
             known != null && self in known.voters -> FirstStartDecision.Found(known)
             known != null -> FirstStartDecision.Join
             mayFound && self.name in names && heard.keys.containsAll(names) ->
-                FirstStartDecision.Found(GroupMembership(names.map(heard::getValue).filter { it.identity.isNotEmpty() }))
+                FirstStartDecision.Found(
+                    GroupMembership(names.map(heard::getValue).filter { it.identity.isNotEmpty() })
+                )
             else -> FirstStartDecision.Wait
         }
     }
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/GroupShard.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/GroupShard.kt
@@ -51,7 +51,9 @@
     }
 
     private fun answerReads(nowMilliseconds: Long): List<ControlEffect> {
-        val answered = waitingReads.filter { !group.leads || group.confirmedSince(it.askedMilliseconds, nowMilliseconds) }
+        val answered = waitingReads.filter {
+            !group.leads || group.confirmedSince(it.askedMilliseconds, nowMilliseconds)
+        }
         waitingReads.removeAll(answered)
         return answered.map { read ->
             if (group.leads) {
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
@@ -45,9 +45,11 @@
 
     /** Notices of those that were ready and have been silent for [silenceMilliseconds], already taken in here. */
     fun findSilent(nowMilliseconds: Long, silenceMilliseconds: Long): List<RunnerNotice> = shards.mapEach { entries ->
-        entries.values.removeIf { it.notice.state != RunnerState.READY && it.isOld(nowMilliseconds) }
+        entries.values.removeIf {
+            it.notice.state != RunnerState.READY && it.isOlder(REMEMBER_LEFT_MILLISECONDS, nowMilliseconds)
+        }
         entries.values
-            .filter { it.notice.state == RunnerState.READY && nowMilliseconds - it.heardMilliseconds > silenceMilliseconds }
+            .filter { it.notice.state == RunnerState.READY && it.isOlder(silenceMilliseconds, nowMilliseconds) }
             .map { it.notice.copy(state = RunnerState.SILENT) }
     }.flatten().filter { offer(it, nowMilliseconds) }
 
@@ -55,6 +57,6 @@
     fun digest(): Long = all().sumOf { it.copy(sequence = 0).toString().hashCode().toLong() }
 
     private data class Entry(val notice: RunnerNotice, val heardMilliseconds: Long) {
-        fun isOld(nowMilliseconds: Long) = nowMilliseconds - heardMilliseconds > REMEMBER_LEFT_MILLISECONDS
+        fun isOlder(milliseconds: Long, nowMilliseconds: Long) = nowMilliseconds - heardMilliseconds > milliseconds
     }
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/LayerRange.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/LayerRange.kt
@@ -23,7 +23,9 @@
 }
 
 /** The kind of accelerator of [runner], or null where the configuration does not name it. */
-internal fun EngineDescription.kindOf(runner: RunnerNotice): AcceleratorKind? = kinds.firstOrNull { it.name == runner.kind }
+internal fun EngineDescription.kindOf(runner: RunnerNotice): AcceleratorKind? = kinds.firstOrNull {
+    it.name == runner.kind
+}
 
 /** Most layers that fit the memory of [kind]. */
 internal fun EngineDescription.mostLayers(kind: AcceleratorKind): Int = (kind.memoryMegabytes / layerMegabytes).toInt()
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
@@ -8,7 +8,7 @@
 /** No new runner for this long: the fleet counts as complete for the first plan, in milliseconds. */
 private const val SETTLED_MILLISECONDS = 1_500L
 
-/** Time after which an order whose effect was not reported is looked into, in milliseconds; late orders come earlier. */
+/** Time after which an order whose effect was not reported is looked into, in milliseconds. */
 private const val ORDER_PATIENCE_MILLISECONDS = 14_000L
 
 /** An order to a runner to hold [range]; it fits only while the runner has taken [expectedOrders] orders. */
@@ -85,7 +85,8 @@
         fun due(runners: List<RunnerNotice>, engine: EngineDescription, nowMilliseconds: Long): List<PlacementOrder> {
             val usable = runners.filter { it.isUsable }
             note(usable, nowMilliseconds)
-            if (usable.isEmpty() || nowMilliseconds - newestRunnerMilliseconds < SETTLED_MILLISECONDS) return emptyList()
+            val isSettled = nowMilliseconds - newestRunnerMilliseconds >= SETTLED_MILLISECONDS
+            if (usable.isEmpty() || !isSettled) return emptyList()
             if (wanted.isEmpty()) {
                 wanted += planPlacement(usable, engine)
             } else {
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementPlan.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementPlan.kt
@@ -14,12 +14,23 @@
 fun planPlacement(runners: List<RunnerNotice>, engine: EngineDescription): Map<String, LayerRange> {
     val zones = runners.groupBy(RunnerNotice::availabilityZone).values
     val plans = zones.mapNotNull { planCopy(it, engine) }
-    return if (plans.isEmpty()) planCopy(runners, engine).orEmpty() else plans.fold(emptyMap()) { all, plan -> all + plan }
+    return if (plans.isEmpty()) {
+        planCopy(
+            runners,
+            engine
+        ).orEmpty()
+    } else {
+        plans.fold(emptyMap()) { all, plan -> all + plan }
+    }
 }
 
 /** One copy of all layers over [runners], or null where their memory does not hold it. */
 internal fun planCopy(runners: List<RunnerNotice>, engine: EngineDescription): Map<String, LayerRange>? {
-    val members = runners.mapNotNull { runner -> engine.kindOf(runner)?.let { Member(runner, it, engine.mostLayers(it)) } }
+    val members = runners.mapNotNull { runner ->
+        engine.kindOf(
+            runner
+        )?.let { Member(runner, it, engine.mostLayers(it)) }
+    }
         .filter { it.most > 0 }
         .sortedWith(compareBy({ it.kind.pace }, { it.kind.readFactor }, { it.runner.id }))
     return if (members.sumOf { it.most } < engine.layers) null else rangesOf(members, sharesOf(members, engine.layers))
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.relay.request
 
 import cassiaspindle.core.result.ResultCode
+import cassiaspindle.relay.route.NoRoute
 import cassiaspindle.schema.RelayRoute
 import cassiaspindle.schema.RelayRouteKind
 
@@ -60,3 +61,15 @@
         else -> NextStep.GiveUp(ResultCode.BACK_END_LOST)
     }
 }
+
+/** Decides what follows where no backend server takes the request, because of [reason]. */
+fun stepWithoutPlace(reason: NoRoute, situation: AttemptSituation, isStreaming: Boolean): NextStep = when {
+    isStreaming -> NextStep.BreakOff
+    situation.mayHaveRun -> NextStep.GiveUp(ResultCode.BACK_END_LOST)
+    reason == NoRoute.NO_ROOM -> NextStep.GiveUp(ResultCode.OVERLOADED)
+    else -> NextStep.GiveUp(ResultCode.NO_BACK_END)
+}
+
+/** Decides what follows where the time of the request is over. */
+fun stepOutOfTime(isStreaming: Boolean): NextStep =
+    if (isStreaming) NextStep.BreakOff else NextStep.GiveUp(ResultCode.DEADLINE_PASSED)
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
@@ -94,7 +94,12 @@
         val trusted = usable(question).filterNot { isSuspect(it, question) }
         val zones = trusted.groupBy(RunnerNotice::availabilityZone)
         val near = zones[availabilityZone]?.let { findChain(it, engine) }
-        val others = (zones - availabilityZone).values.mapNotNull { findChain(it, engine) }.sortedBy { it.stepMilliseconds }
+        val others = (zones - availabilityZone).values.mapNotNull {
+            findChain(
+                it,
+                engine
+            )
+        }.sortedBy { it.stepMilliseconds }
         val whole = listOfNotNull(near) + others
         return whole.ifEmpty { listOfNotNull(findChain(trusted, engine)) }
     }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/LayerChain.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/LayerChain.kt
@@ -37,17 +37,27 @@
     val best = mutableMapOf(0 to Reached(0.0, null, null))
     for (from in boundaries) {
         val reached = best[from] ?: continue
-        holders.filter { from in it.layers && !reached.uses(it.runner) }.forEach { holder ->
-            boundaries.filter { it > from && it <= holder.layers.end }.forEach { end ->
-                val hop = LayerHop(holder.runner, LayerRange(from, end))
-                val offered = Reached(reached.cost + costOf(hop, reached.hop, engine), hop, reached)
-                if (offered.cost < (best[end]?.cost ?: Double.MAX_VALUE)) best[end] = offered
-            }
-        }
+        holders.filter { from in it.layers && !reached.uses(it.runner) }
+            .flatMap { holder -> extensions(reached, from, holder, boundaries, engine) }
+            .forEach { best.merge(it.end, it, ::cheaper) }
     }
     return best[engine.layers]?.let { chainOf(it, engine) }
 }
 
+/** The ways on from [reached] over [holder], to each later boundary that it holds. */
+private fun extensions(
+    reached: Reached,
+    from: Int,
+    holder: LayerHop,
+    boundaries: Set<Int>,
+    engine: EngineDescription,
+): List<Reached> = boundaries.filter { it > from && it <= holder.layers.end }.map { end ->
+    val hop = LayerHop(holder.runner, LayerRange(from, end))
+    Reached(reached.cost + costOf(hop, reached.hop, engine), hop, reached)
+}
+
+private fun cheaper(one: Reached, other: Reached): Reached = if (other.cost < one.cost) other else one
+
 private fun costOf(hop: LayerHop, before: LayerHop?, engine: EngineDescription): Double {
     val pace = engine.kindOf(hop.runner)?.pace ?: 1.0
     val crosses = before != null && before.runner.availabilityZone != hop.runner.availabilityZone
@@ -65,5 +75,9 @@
 }
 
 private class Reached(val cost: Double, val hop: LayerHop?, val before: Reached?) {
-    fun uses(runner: RunnerNotice): Boolean = generateSequence(this) { it.before }.any { it.hop?.runner?.id == runner.id }
+    val end: Int get() = hop?.layers?.end ?: 0
+
+    fun uses(runner: RunnerNotice): Boolean = generateSequence(
+        this
+    ) { it.before }.any { it.hop?.runner?.id == runner.id }
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/SuspicionTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/SuspicionTable.kt
@@ -29,7 +29,9 @@
 
     /** Whether the backend server at [address] is avoided. */
     fun isSuspect(address: String, nowMilliseconds: Long): Boolean =
-        shards.withKey(address) { suspicions -> suspicions[address]?.let { nowMilliseconds < it.endMilliseconds } ?: false }
+        shards.withKey(
+            address
+        ) { suspicions -> suspicions[address]?.let { nowMilliseconds < it.endMilliseconds } ?: false }
 
     private data class Suspicion(val endMilliseconds: Long, val lengthMilliseconds: Long)
 }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/configuration/ConfigurationCheckTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/configuration/ConfigurationCheckTest.kt
@@ -20,13 +20,14 @@
 
     @Test
     fun `a configuration that contradicts itself is refused`() {
+        val rival = RelayAccount("three", listOf("d2"))
         val broken = mapOf(
             "unknown service" to listOf(streamRoute.copy(targets = listOf(RelayTarget("nowhere", 1)))),
             "no weight" to listOf(orderRoute.copy(targets = listOf(RelayTarget("plain", 0)))),
             "no timeout" to listOf(streamRoute.copy(timeoutMilliseconds = 0)),
             "same place" to listOf(streamRoute, orderRoute.copy(pathPrefix = "/s/")),
         ).mapValues { configuration.copy(routes = it.value) } +
-            ("shared key" to configuration.copy(accounts = configuration.accounts + RelayAccount("three", listOf("d2"))))
+            ("shared key" to configuration.copy(accounts = configuration.accounts + rival))
         broken.forEach { (name, candidate) ->
             withClue(name) { checkConfiguration(candidate).getError()?.code shouldBe ResultCode.CONFIGURATION_INVALID }
         }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/PlacementPlanTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/PlacementPlanTest.kt
@@ -25,7 +25,9 @@
         repeat(200) { seed ->
             val random = Random(seed)
             val kinds = listOf("large", "middle", "small")
-            val fleet = List(random.nextInt(4, 40)) { runner("r$it", kinds[random.nextInt(3)], "z${random.nextInt(3)}") }
+            val fleet = List(
+                random.nextInt(4, 40)
+            ) { runner("r$it", kinds[random.nextInt(3)], "z${random.nextInt(3)}") }
             planPlacement(fleet, engine).forEach { (id, range) ->
                 val kind = checkNotNull(engine.kindOf(fleet.first { it.id == id }))
                 withClue("seed $seed, $id") { range.size shouldBeLessThanOrEqual engine.mostLayers(kind) }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/route/LayerChainTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/route/LayerChainTest.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.relay.holding
 import cassiaspindle.relay.placement.LayerRange
 import cassiaspindle.relay.runner
+import cassiaspindle.schema.RunnerNotice
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
@@ -27,17 +28,13 @@
     @Test
     fun `every chain covers each layer once and names no runner twice`() {
         repeat(300) { seed ->
-            val random = Random(seed)
-            val fleet = List(random.nextInt(3, 30)) { index ->
-                val first = random.nextInt(0, 70)
-                runner("r$index", zone = "z${random.nextInt(3)}").holding(first, minOf(80, first + random.nextInt(1, 41)))
-            } + runner("start").holding(0, 10)
-            val chain = findChain(fleet, engine)
-            withClue("seed $seed") {
-                chain?.hops?.flatMap { it.layers.first until it.layers.end } shouldBe chain?.let { (0 until 80).toList() }
-                chain?.hops?.map { it.runner.id }?.distinct()?.size shouldBe chain?.hops?.size
-                chain?.hops?.all { within(it.layers, LayerRange(checkNotNull(it.runner.firstLayer), checkNotNull(it.runner.endLayer))) } shouldBe
-                    chain?.let { true }
+            val chain = findChain(randomFleet(Random(seed)), engine)
+            if (chain != null) {
+                withClue("seed $seed") {
+                    chain.hops.flatMap { it.layers.first until it.layers.end } shouldBe (0 until 80).toList()
+                    chain.hops.map { it.runner.id }.distinct().size shouldBe chain.hops.size
+                    chain.hops.all { within(it.layers, it.runner) } shouldBe true
+                }
             }
         }
     }
@@ -49,5 +46,12 @@
         findChain(near + far, engine)?.hops?.map { it.runner.id } shouldBe listOf("a", "b")
     }
 
-    private fun within(part: LayerRange, held: LayerRange) = part.first >= held.first && part.end <= held.end
+    private fun randomFleet(random: Random) = List(random.nextInt(3, 30)) { index ->
+        val first = random.nextInt(0, 70)
+        val end = minOf(80, first + random.nextInt(1, 41))
+        runner("r$index", zone = "z${random.nextInt(3)}").holding(first, end)
+    } + runner("start").holding(0, 10)
+
+    private fun within(part: LayerRange, runner: RunnerNotice) =
+        part.first >= checkNotNull(runner.firstLayer) && part.end <= checkNotNull(runner.endLayer)
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
@@ -56,7 +56,7 @@
         }
     }
 
-    /** A voter that has been silent for so long that it counts as lost; null where removing it would risk the quorum. */
+    /** A voter that was silent for so long that it counts as lost; null where removing it would risk the quorum. */
     private fun lostVoter(nowMilliseconds: Long): Replica? {
         val since = nowMilliseconds - state.settings.lostAfterMilliseconds
         val silent = state.membership.voters.filter { leadership.progress.isSilent(it, since) }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
@@ -97,7 +97,7 @@
         replacement.joinRequests(names, OutputCollector(state))
 
     /** All that must be in the data folder, for a rewrite of the log file. */
-    fun image() = GroupImage(state.hardState, state.log.snapshot, state.log.allEntries())
+    val image: GroupImage get() = GroupImage(state.hardState, state.log.snapshot, state.log.allEntries())
 
     /** The state for operators. */
     fun status() = GroupStatus(
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
@@ -17,6 +17,9 @@
 /** Idle time after which a caller's connection is closed, in seconds; callers are told less. */
 private const val IDLE_SECONDS = 20
 
+/** Ktor's property for a hook that would close the server as soon as the process is asked to stop. */
+private const val OWN_SHUTDOWN_HOOK = "io.ktor.server.engine.ShutdownHook"
+
 /** Serves one call; cancelled once the caller is gone. */
 typealias CallHandler = suspend (ApplicationCall) -> Unit
 
@@ -31,6 +34,7 @@
     companion object {
         /** Listens on the addresses in [handlers]. */
         fun start(handlers: Map<HostAndPort, CallHandler>): RelayServer {
+            System.setProperty(OWN_SHUTDOWN_HOOK, "false")
             val byPort = handlers.mapKeys { it.key.port }
             val configure: CIOApplicationEngine.Configuration.() -> Unit = {
                 connectionIdleTimeoutSeconds = IDLE_SECONDS
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.transport.relay
 
 import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.decodeChunked
 import io.ktor.http.cio.parseResponse
@@ -25,7 +26,7 @@
 private const val TRANSFER_ENCODING = "transfer-encoding"
 
 /** Statuses whose answers have no body. */
-private val BODILESS = setOf(204, 304)
+private val BODILESS = setOf(HttpStatusCode.NoContent.value, HttpStatusCode.NotModified.value)
 
 /** How the end of a body is known. */
 internal sealed interface Framing {
