--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
@@ -13,6 +13,7 @@
 import cassiaspindle.schema.PeerFrameKind
 import cassiaspindle.schema.RelaySettings
 import cassiaspindle.schema.Replica
+import cassiaspindle.schema.RunnerNotice
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerHandlers
 import cassiaspindle.transport.peer.PeerServer
@@ -114,6 +115,9 @@
         if (host.get() != null) hub.tick()
     }
 
+    /** Tells every entry VM about a backend server. */
+    fun tell(notice: RunnerNotice) = hub.heard(notice)
+
     /** Takes what [peer] said of itself. */
     fun heard(peer: String, frame: PeerFrame) {
         frame.membership?.takeIf { it.voters.isNotEmpty() }?.let { memberships[peer] = it }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -19,6 +19,7 @@
 import cassiaspindle.daemon.relay.request.RelayParts
 import cassiaspindle.daemon.relay.request.RequestAdmission
 import cassiaspindle.daemon.relay.request.RequestRelay
+import cassiaspindle.daemon.relay.request.StallWatch
 import cassiaspindle.relay.request.RetryBudget
 import cassiaspindle.relay.route.BackEndChoice
 import cassiaspindle.relay.route.LoadTable
@@ -26,6 +27,7 @@
 import cassiaspindle.relay.route.SuspicionTable
 import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.RelaySettings
+import cassiaspindle.schema.RunnerState
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerSettings
@@ -44,6 +46,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
@@ -53,6 +56,7 @@
 private const val DISCOVER_MILLISECONDS = 300L
 private const val PLACEMENT_MILLISECONDS = 250L
 private const val HUB_MILLISECONDS = 250L
+private const val LOST_MILLISECONDS = 300L
 private const val LOG_CLOSE_MILLISECONDS = 200L
 private const val MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024
 private const val STATUS_OK = 200
@@ -97,7 +101,7 @@
     private val core: CoreMember = CoreMember(CoreParts(settings, environment, peerSettings, state, link, scope))
     private val connections = RunnerConnections(selector, clock.monotonicMilliseconds)
     private val placement = PlacementRunner(
-        PlacementParts(state, connections, protocol.backEnds, log, clock.monotonicMilliseconds, core::leads),
+        PlacementParts(state, connections, protocol.backEnds, log, clock.monotonicMilliseconds, core::leads, core::tell),
         scope,
     )
     private val desk = relayDesk()
@@ -171,20 +175,33 @@
         val relay = RequestRelay(
             RelayParts(
                 choice = BackEndChoice(knowledge, settings.availabilityZone, environment.random),
-                attempts = AttemptRunner(connections, protocol.backEnds, settings.stallMilliseconds),
+                attempts = AttemptRunner(
+                    connections,
+                    protocol.backEnds,
+                    StallWatch(connections, protocol.backEnds, clock.monotonicMilliseconds),
+                    settings.stallMilliseconds,
+                ),
                 suspicions = suspicions,
                 loads = loads,
-                budget = RetryBudget { state.entries.entries.size },
+                budget = RetryBudget(settings.repeatRatio, settings.repeatReserve) { state.entries.entries.size },
                 protocol = protocol.callers,
                 log = log,
                 metrics = metrics,
                 now = clock.monotonicMilliseconds,
+                onLost = ::tellLost,
             ),
         )
         val admission = RequestAdmission(state.configuration, environment.random)
         return RelayDesk(DeskParts(admission, relay, protocol.callers, log, metrics))
     }
 
+    private fun tellLost(address: String) {
+        val lost = state.runners.usable().firstOrNull { it.address == address } ?: return
+        val notice = lost.copy(state = RunnerState.SILENT)
+        log.write("runner_lost", "runner" to lost.id, "address" to address, "sequence" to lost.sequence)
+        if (state.take(notice)) scope.launch { link.tell(notice, needed = 1, LOST_MILLISECONDS) }
+    }
+
     private fun handlers(): Map<HostAndPort, CallHandler> = listOfNotNull(
         HostAndPort.parse(settings.callerAddress) to desk::serve,
         HostAndPort.parse(settings.readyAddress) to ::answerReady,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetHub.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetHub.kt
@@ -6,12 +6,13 @@
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.PeerFrameKind
 import cassiaspindle.schema.RunnerNotice
+import cassiaspindle.schema.RunnerState
 import cassiaspindle.schema.StoredConfiguration
 import cassiaspindle.transport.peer.PeerConnection
 import java.util.concurrent.ConcurrentHashMap
 
 /** Silence after which an entry VM is not told to callers any more, in milliseconds. */
-private const val PRESENCE_LEASE_MILLISECONDS = 1_800L
+private const val PRESENCE_LEASE_MILLISECONDS = 1_300L
 
 /** Announcements that a backend server may miss before it counts as silent. */
 private const val MISSED_ANNOUNCEMENTS = 3
@@ -49,11 +50,18 @@
         }
     }
 
-    /** Takes what a backend server said, and tells it on where it changes anything. */
+    /** Takes what a backend server said, or an entry VM found, and tells it on where it changes anything. */
     fun heard(notice: RunnerNotice) {
-        if (state.take(notice)) broadcast(FleetNews(runners = listOf(notice)))
+        val told = if (notice.state == RunnerState.SILENT) atNewest(notice) else notice
+        if (state.take(told)) broadcast(FleetNews(runners = listOf(told)))
     }
 
+    /** An entry VM that finds a backend server silent has not heard its newest announcement. */
+    private fun atNewest(found: RunnerNotice): RunnerNotice = state.runners.find(found.id)
+        ?.takeIf { it.bornMilliseconds == found.bornMilliseconds && it.state == RunnerState.READY }
+        ?.copy(state = RunnerState.SILENT)
+        ?: found
+
     /** Tells every entry VM the configuration [stored] where this replica leads. */
     fun applied(stored: StoredConfiguration) {
         state.take(stored)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/RelayProtocol.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/RelayProtocol.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.daemon.relay.protocol
 
 import cassiaspindle.core.result.Failure
+import cassiaspindle.relay.placement.LayerRange
 import cassiaspindle.relay.placement.OrderResult
 import cassiaspindle.relay.placement.PlacementOrder
 import cassiaspindle.schema.RelayConfiguration
@@ -41,8 +42,18 @@
     val readOrderResult: (ResponseHead) -> OrderResult,
     /** Encodes a question for the state of the backend server at an address. */
     val writeReportRequest: (address: String) -> WholeRequest,
-    /** The number of orders that a state tells. */
-    val readOrderCount: (body: ByteArray) -> Result<Long, Failure>,
+    /** What a state tells. */
+    val readReport: (body: ByteArray) -> Result<RunnerReport, Failure>,
+)
+
+/** What a backend server tells of its state when it is asked. */
+data class RunnerReport(
+    /** Orders that it has taken since its start. */
+    val orders: Long,
+    /** The layers that it holds, or null. */
+    val layers: LayerRange?,
+    /** Addresses of the runners that requests wait for, by request. */
+    val stalled: Map<String, String>,
 )
 
 /** How operators and announcing backend servers speak. */
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -45,6 +45,8 @@
         val reason: String,
         val faultAt: String?,
         val answer: Whole? = null,
+        /** Whether a runner says that it waits for the one at [faultAt]. */
+        val isStalled: Boolean = false,
     ) : Attempt
 }
 
@@ -52,6 +54,7 @@
 internal class AttemptRunner(
     private val connections: RunnerConnections,
     private val protocol: BackEndProtocol,
+    private val stalls: StallWatch,
     private val stallMilliseconds: Long,
 ) {
     /**
@@ -86,6 +89,8 @@
             connection.send(request)
             receive(connection, sending)
         } ?: Attempt.Failed(AttemptFailure.Broken, reason = "no_answer_in_time", faultAt = null)
+    } catch (problem: StalledException) {
+        Attempt.Failed(AttemptFailure.Broken, reason = "stalled", problem.faultAt, isStalled = true)
     } catch (problem: IOException) {
         broken(sending, "connection_broke:${problem.javaClass.simpleName}")
     } catch (problem: ParserException) {
@@ -93,18 +98,26 @@
     }
 
     private suspend fun receive(connection: RunnerConnection, sending: Sending): Attempt {
-        val answer = protocol.readAnswer(connection.readHead())
+        val wait = waitFor(sending)
+        val answer = protocol.readAnswer(wait.forValue { connection.readHead() })
         return when {
             answer.requestId != null && answer.requestId != sending.request.id -> broken(sending, "foreign_answer")
             answer.isSuccess && !answer.isTrustworthy -> broken(sending, "unsigned_success")
-            answer.isSuccess && answer.isEventStream -> startStream(connection, answer, sending)
+            answer.isSuccess && answer.isEventStream -> startStream(OpenAnswer(answer, connection, wait), sending)
             else -> readWhole(connection, answer, sending)
         }
     }
 
-    private suspend fun startStream(connection: RunnerConnection, answer: RunnerAnswer, sending: Sending): Attempt {
-        val open = OpenAnswer(answer, connection, stallMilliseconds + SILENCE_MARGIN_MILLISECONDS)
-        return if (open.awaitEvent()) Attempt.Streaming(open) else broken(sending, "stream_without_events")
+    private suspend fun startStream(open: OpenAnswer, sending: Sending): Attempt =
+        if (open.awaitEvent()) Attempt.Streaming(open) else broken(sending, "stream_without_events")
+
+    /** Only a chain can wait for a runner other than the one that the request was sent to. */
+    private fun waitFor(sending: Sending): PatientWait = if (sending.call.chain == null) {
+        PatientWait(sending.call.leftMilliseconds) { null }
+    } else {
+        PatientWait(stallMilliseconds + SILENCE_MARGIN_MILLISECONDS) {
+            stalls.stalledAt(sending.address, sending.request.id)
+        }
     }
 
     private suspend fun readWhole(connection: RunnerConnection, answer: RunnerAnswer, sending: Sending): Attempt {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/OpenAnswer.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/OpenAnswer.kt
@@ -4,7 +4,6 @@
 import cassiaspindle.transport.relay.EventSplitter
 import cassiaspindle.transport.relay.RunnerConnection
 import cassiaspindle.transport.relay.StreamEvent
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.EOFException
 import kotlinx.io.IOException
 
@@ -12,8 +11,7 @@
 internal class OpenAnswer(
     val answer: RunnerAnswer,
     private val connection: RunnerConnection,
-    /** Silence after which the stream counts as broken, in milliseconds. */
-    private val silenceMilliseconds: Long,
+    private val wait: PatientWait,
 ) {
     private val splitter = EventSplitter()
     private val ready = ArrayDeque<StreamEvent>()
@@ -31,11 +29,8 @@
     suspend fun nextEvent(): StreamEvent? = if (awaitEvent()) ready.removeFirst() else null
 
     private suspend fun readSome(): ByteArray? {
-        val read = withTimeoutOrNull(silenceMilliseconds) { Read(connection.readBody()) }
-            ?: throw IOException("no event within $silenceMilliseconds ms")
-        if (read.bytes == null && splitter.holdsPart) throw EOFException("the stream ended within an event")
-        return read.bytes
+        val bytes = wait.forValue { connection.readBody() }
+        if (bytes == null && splitter.holdsPart) throw EOFException("the stream ended within an event")
+        return bytes
     }
-
-    private class Read(val bytes: ByteArray?)
 }
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/PatientWait.kt
@@ -0,0 +1,41 @@
+package cassiaspindle.daemon.relay.request
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+
+/** Silence after which it is asked whether a request waits for a lost runner, in milliseconds. */
+private const val QUIET_MILLISECONDS = 400L
+
+/** A request waits for the runner at [faultAt], which is lost. */
+internal class StalledException(val faultAt: String) : IOException("the request waits for $faultAt")
+
+/**
+ * Waits for what a backend server sends.
+ *
+ * After some silence [stalledAt] is asked for the runner that the request waits for; where it names one, and at the
+ * latest after [longestMilliseconds], the wait ends.
+ */
+internal class PatientWait(
+    private val longestMilliseconds: Long,
+    private val stalledAt: suspend () -> String?,
+) {
+    /** The value of [read]; throws [StalledException] or another [IOException] where it does not come. */
+    suspend fun <Value> forValue(read: suspend () -> Value): Value = coroutineScope {
+        val reading = async { runCatching { read() } }
+        try {
+            var waited = 0L
+            var result = withTimeoutOrNull(QUIET_MILLISECONDS) { reading.await() }
+            while (result == null) {
+                waited += QUIET_MILLISECONDS
+                stalledAt()?.let { throw StalledException(it) }
+                if (waited >= longestMilliseconds) throw IOException("nothing within $longestMilliseconds ms")
+                result = withTimeoutOrNull(QUIET_MILLISECONDS) { reading.await() }
+            }
+            result.getOrThrow()
+        } finally {
+            reading.cancel()
+        }
+    }
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
@@ -21,6 +21,8 @@
     val log: EventLog,
     val metrics: Metrics,
     val now: () -> Long,
+    /** Tells the others that the backend server at an address is lost; must not wait. */
+    val onLost: (address: String) -> Unit,
 )
 
 /** Takes admitted requests to backend servers and their answers back. */
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerOrder.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerOrder.kt
@@ -7,11 +7,19 @@
  * Whether [candidate] tells more than [held] about the same backend server.
  *
  * A later start goes first; within one start leaving is final, and otherwise the later announcement goes first, with
- * silence after the announcement that it follows. The order is the same everywhere, so that notices may arrive in any
+ * the answer to a question, and then silence, after the announcement that they follow. The order is the same everywhere, so that notices may arrive in any
  * order and more than once.
  */
 internal fun tellsMore(candidate: RunnerNotice, held: RunnerNotice): Boolean =
-    compareValuesBy(candidate, held, RunnerNotice::bornMilliseconds, ::finality, RunnerNotice::sequence, ::silence) > 0
+    compareValuesBy(
+        candidate,
+        held,
+        RunnerNotice::bornMilliseconds,
+        ::finality,
+        RunnerNotice::sequence,
+        RunnerNotice::askedCount,
+        ::silence,
+    ) > 0
 
 /** Whether requests may be sent to the backend server. */
 val RunnerNotice.isUsable: Boolean get() = state == RunnerState.READY
@@ -20,7 +28,10 @@
 val RunnerNotice.holdsLayers: Boolean get() = (endLayer ?: 0) > (firstLayer ?: 0)
 
 /** Whether [other] differs in what entry VMs decide by. */
-internal fun RunnerNotice.differsFrom(other: RunnerNotice): Boolean = copy(sequence = 0) != other.copy(sequence = 0)
+internal fun RunnerNotice.differsFrom(other: RunnerNotice): Boolean = settled() != other.settled()
+
+/** What decisions depend on, without the counts that only order notices. */
+internal fun RunnerNotice.settled(): RunnerNotice = copy(sequence = 0, askedCount = 0)
 
 private fun finality(notice: RunnerNotice): Int = when (notice.state) {
     RunnerState.READY, RunnerState.SILENT -> 0
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
@@ -54,7 +54,7 @@
     }.flatten().filter { offer(it, nowMilliseconds) }
 
     /** A digest of all that decisions depend on; the same for tables with the same content. */
-    fun digest(): Long = all().sumOf { it.copy(sequence = 0).toString().hashCode().toLong() }
+    fun digest(): Long = all().sumOf { it.settled().toString().hashCode().toLong() }
 
     private data class Entry(val notice: RunnerNotice, val heardMilliseconds: Long) {
         fun isOlder(milliseconds: Long, nowMilliseconds: Long) = nowMilliseconds - heardMilliseconds > milliseconds
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/LayerRange.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/LayerRange.kt
@@ -11,6 +11,9 @@
     /** Number of layers. */
     val size: Int get() = end - first
 
+    /** Whether all of [other] are among them. */
+    fun holds(other: LayerRange): Boolean = first <= other.first && end >= other.end
+
     /** Whether [layer] is one of them. */
     operator fun contains(layer: Int): Boolean = layer in first until end
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
@@ -45,18 +45,29 @@
         }
     }
 
-    /** Takes the number of orders that a runner reports to have taken; it settles what was in doubt. */
-    fun reported(id: String, orders: Long) = shards.withIndex(0) { state ->
-        val known = state.known[id] ?: return@withIndex
-        known.orders = orders
-        known.inDoubtSinceMilliseconds = null
-        known.orderedMilliseconds = null
-    }
+    /**
+     * Takes the state that the runner called [id] tells when asked: the number of [orders] that it has taken, which
+     * settles what has been in doubt for long, and the [range] that it holds. Gives whether an order has taken effect
+     * that the runner has not announced yet.
+     */
+    fun reported(id: String, orders: Long, range: LayerRange?, nowMilliseconds: Long): Boolean =
+        shards.withIndex(0) { state ->
+            val known = state.known[id]
+            if (known != null && known.isInDoubt(nowMilliseconds)) {
+                known.orders = orders
+                known.inDoubtSinceMilliseconds = null
+                known.orderedMilliseconds = null
+            }
+            range != null && range == known?.orderedRange && range != known.runner.range()
+        }
 
-    /** Runners whose state has to be asked for before they get another order. */
-    fun inDoubt(nowMilliseconds: Long): List<RunnerNotice> = shards.withIndex(0) { state ->
+    /**
+     * Runners whose state is worth asking for: those with an order outstanding, so that its effect is known before they
+     * say so, and those whose order is in doubt.
+     */
+    fun toAsk(nowMilliseconds: Long): List<RunnerNotice> = shards.withIndex(0) { state ->
         state.known.values
-            .filter { it.isInDoubt(nowMilliseconds) }
+            .filter { it.isOutstanding || it.isInDoubt(nowMilliseconds) }
             .map(Known::runner)
     }
 
@@ -69,8 +80,11 @@
     private class Known(var runner: RunnerNotice) {
         var orders = 0L
         var orderedMilliseconds: Long? = null
+        var orderedRange: LayerRange? = null
         var inDoubtSinceMilliseconds: Long? = null
 
+        val isOutstanding: Boolean get() = orderedMilliseconds != null && orderedRange != runner.range()
+
         fun isInDoubt(nowMilliseconds: Long): Boolean {
             val since = inDoubtSinceMilliseconds ?: orderedMilliseconds ?: return false
             return nowMilliseconds - since > ORDER_PATIENCE_MILLISECONDS
@@ -90,9 +104,9 @@
             if (wanted.isEmpty()) {
                 wanted += planPlacement(usable, engine)
             } else {
-                usable.groupBy(RunnerNotice::availabilityZone).values.forEach { wanted += repairs(it, wanted, engine) }
+                usable.groupBy(RunnerNotice::availabilityZone).values.forEach { wanted += rebalance(it, wanted, engine) }
             }
-            return usable.mapNotNull { orderFor(it, nowMilliseconds) }
+            return usable.groupBy(RunnerNotice::availabilityZone).values.flatMap { ordersFor(it, engine, nowMilliseconds) }
         }
 
         private fun note(usable: List<RunnerNotice>, nowMilliseconds: Long) {
@@ -111,13 +125,26 @@
             }
         }
 
-        private fun orderFor(runner: RunnerNotice, nowMilliseconds: Long): PlacementOrder? {
-            val range = wanted[runner.id]
+        private fun ordersFor(
+            copy: List<RunnerNotice>,
+            engine: EngineDescription,
+            nowMilliseconds: Long,
+        ): List<PlacementOrder> {
+            val mayShrink = copy.all { runner -> wanted[runner.id]?.let { runner.range()?.holds(it) } ?: true }
+            return copy.mapNotNull { runner ->
+                val most = engine.kindOf(runner)?.let(engine::mostLayers) ?: 0
+                wanted[runner.id]
+                    ?.let { nextRange(runner.range(), it, most, mayShrink) }
+                    ?.let { orderFor(runner, it, nowMilliseconds) }
+            }
+        }
+
+        private fun orderFor(runner: RunnerNotice, range: LayerRange, nowMilliseconds: Long): PlacementOrder? {
             val state = known.getValue(runner.id)
-            if (range == runner.range()) state.orderedMilliseconds = null
-            val due = range != null && range != runner.range() && state.orderedMilliseconds == null
-            if (!due || range == null || state.inDoubtSinceMilliseconds != null) return null
+            if (state.orderedRange == runner.range()) state.orderedMilliseconds = null
+            if (state.orderedMilliseconds != null || state.inDoubtSinceMilliseconds != null) return null
             state.orderedMilliseconds = nowMilliseconds
+            state.orderedRange = range
             return PlacementOrder(runner, range, state.orders)
         }
     }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementPlan.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementPlan.kt
@@ -24,15 +24,17 @@
     }
 }
 
-/** One copy of all layers over [runners], or null where their memory does not hold it. */
+/** One copy of all layers over [runners], fast ones first, or null where their memory does not hold it. */
 internal fun planCopy(runners: List<RunnerNotice>, engine: EngineDescription): Map<String, LayerRange>? {
-    val members = runners.mapNotNull { runner ->
-        engine.kindOf(
-            runner
-        )?.let { Member(runner, it, engine.mostLayers(it)) }
-    }
+    val fastFirst = compareBy<RunnerNotice>({ engine.kindOf(it)?.pace }, { engine.kindOf(it)?.readFactor }, { it.id })
+    return planInOrder(runners.sortedWith(fastFirst), engine)
+}
+
+/** One copy of all layers over [runners] in this order, or null where their memory does not hold it. */
+internal fun planInOrder(runners: List<RunnerNotice>, engine: EngineDescription): Map<String, LayerRange>? {
+    val members = runners
+        .mapNotNull { runner -> engine.kindOf(runner)?.let { Member(runner, it, engine.mostLayers(it)) } }
         .filter { it.most > 0 }
-        .sortedWith(compareBy({ it.kind.pace }, { it.kind.readFactor }, { it.runner.id }))
     return if (members.sumOf { it.most } < engine.layers) null else rangesOf(members, sharesOf(members, engine.layers))
 }
 
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementRepair.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementRepair.kt
@@ -11,62 +11,37 @@
 }
 
 /**
- * The ranges that change so that [runners] of one zone hold every layer again, given what they are [wanted] to hold.
+ * What [runners] of one zone are to hold, given what they are [wanted] to hold; the same where nothing is missing.
  *
- * A runner without layers takes a gap where it fits, else the holders beside the gap grow into it, the one with more
- * free memory first. What nobody can take stays missing.
+ * Where layers are missing, all boundaries move a little, so that the room for tokens stays in proportion and every
+ * runner loads few layers; a runner without layers comes in at the first gap. Where the memory holds no copy, nothing
+ * changes and other zones serve.
  */
-internal fun repairs(
+internal fun rebalance(
     runners: List<RunnerNotice>,
     wanted: Map<String, LayerRange>,
     engine: EngineDescription,
-): Map<String, LayerRange> = PlacementRepair(runners, wanted, engine).changes()
-
-private class PlacementRepair(
-    private val runners: List<RunnerNotice>,
-    private val wanted: Map<String, LayerRange>,
-    private val engine: EngineDescription,
-) {
-    private val most = runners.associate { it.id to (engine.kindOf(it)?.let(engine::mostLayers) ?: 0) }
-    private val changes = mutableMapOf<String, LayerRange>()
-
-    fun changes(): Map<String, LayerRange> {
-        gapsOf(runners.mapNotNull { held(it.id) }, engine).forEach { gap -> if (!fillBySpare(gap)) growInto(gap) }
-        return changes
-    }
-
-    private fun fillBySpare(gap: LayerRange): Boolean {
-        val spare = runners.filter { held(it.id) == null && most.getValue(it.id) >= gap.size }
-            .maxByOrNull { most.getValue(it.id) }
-        if (spare != null) changes[spare.id] = gap
-        return spare != null
-    }
-
-    private fun growInto(gap: LayerRange) {
-        val beside = runners.map { it.id }
-            .filter { id -> held(id)?.let { it.end == gap.first || it.first == gap.end } == true }
-            .sortedByDescending(::free)
-        beside.fold(gap) { rest, id -> grow(id, rest) }
-    }
+): Map<String, LayerRange> {
+    val held = runners.mapNotNull { runner -> wanted[runner.id]?.let { runner.id to it } }.toMap()
+    val gap = gapsOf(held.values, engine).firstOrNull() ?: return held
+    val inOrder = runners.sortedBy { held[it.id]?.first ?: gap.first }
+    return planInOrder(inOrder, engine) ?: held
+}
 
-    /** Lets the runner called [id] take of [rest] what fits; gives what is left. */
-    private fun grow(id: String, rest: LayerRange): LayerRange {
-        val range = checkNotNull(held(id))
-        val taken = minOf(rest.size, free(id))
-        return when {
-            taken <= 0 -> rest
-            range.end == rest.first -> {
-                changes[id] = LayerRange(range.first, range.end + taken)
-                LayerRange(rest.first + taken, rest.end)
-            }
-            else -> {
-                changes[id] = LayerRange(range.first - taken, range.end)
-                LayerRange(rest.first, rest.end - taken)
-            }
-        }
+/**
+ * The next range to order a runner that reports [reported] and is to hold [target], or null where none is due.
+ *
+ * It takes what it lacks before it gives anything up, as far as its [most] layers allow; it gives up only once
+ * [mayShrink] tells that every other runner of the copy holds what it is to hold.
+ */
+internal fun nextRange(reported: LayerRange?, target: LayerRange, most: Int, mayShrink: Boolean): LayerRange? {
+    val whole = reported?.let { LayerRange(minOf(it.first, target.first), maxOf(it.end, target.end)) }
+    val touches = reported != null && reported.first <= target.end && target.first <= reported.end
+    return when {
+        reported == target -> null
+        whole == null || !touches || whole.size > most -> target
+        whole != reported -> whole
+        mayShrink -> target
+        else -> null
     }
-
-    private fun free(id: String): Int = most.getValue(id) - checkNotNull(held(id)).size
-
-    private fun held(id: String): LayerRange? = changes[id] ?: wanted[id]
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/request/RetryBudget.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/RetryBudget.kt
@@ -4,20 +4,17 @@
 
 private const val SHARDS = 4
 
-/** Repeats earned by one request. */
-private const val EARNED = 0.1
+/** Share of what is allowed that is used: entry VMs count apart, and windows overlap. */
+private const val USED_SHARE = 0.7
 
-/** Repeats that all entry VMs together may save up for a service. */
-private const val SAVED_BY_ALL = 60.0
-
-/** Limits how often this entry VM sends requests again, sharded by service. */
-class RetryBudget(private val entries: () -> Int) {
+/** Limits how often this entry VM sends requests again, sharded by service; [entries] share the [reserve]. */
+class RetryBudget(private val ratio: Double, private val reserve: Double, private val entries: () -> Int) {
     private val shards = Sharded(SHARDS) { mutableMapOf<String, Double>() }
 
     /** Counts a new request for [service]. */
     fun earn(service: String) {
         val most = most()
-        shards.withKey(service) { saved -> saved[service] = minOf(most, (saved[service] ?: most) + EARNED) }
+        shards.withKey(service) { saved -> saved[service] = minOf(most, (saved[service] ?: most) + ratio * USED_SHARE) }
     }
 
     /** Takes one repeat for [service]; false where none is left. */
@@ -31,5 +28,5 @@
         }
     }
 
-    private fun most(): Double = maxOf(1.0, SAVED_BY_ALL / maxOf(1, entries()))
+    private fun most(): Double = maxOf(1.0, reserve * USED_SHARE / maxOf(1, entries()))
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
@@ -9,6 +9,9 @@
 /** How often chains are looked for again while the fleet stays the same, in milliseconds; suspicions run out. */
 private const val CHAIN_LIFETIME_MILLISECONDS = 250L
 
+/** How much fuller the chain of the own zone may be than another one before that one is chosen. */
+private const val OTHER_ZONE_FILL = 0.15
+
 /** What a request asks of a service. */
 data class RouteQuestion(
     val service: String,
@@ -69,7 +72,7 @@
 
     private fun chooseChain(question: RouteQuestion, engine: EngineDescription): Pair<RouteChoice?, NoRoute> {
         val untried = chainsOf(question, engine).filter { it.first.address !in question.tried }
-        val chain = untried.firstOrNull { hasRoom(it, question.tokens) }
+        val chain = untried.filter { hasRoom(it, question.tokens) }.minByOrNull { fillOf(it) + distanceOf(it) }
         val reason = if (untried.isEmpty()) NoRoute.NO_BACK_END else NoRoute.NO_ROOM
         return chain?.let { RouteChoice(it.first, it) } to reason
     }
@@ -78,6 +81,13 @@
         (knowledge.loads.at(hop.runner.id).tokens + tokens).toLong() * knowledge.sharers() <= chain.roomTokens
     }
 
+    /** How much of the room of [chain] is in use by this entry VM and, as far as it can tell, by the others. */
+    private fun fillOf(chain: LayerChain): Double =
+        knowledge.loads.at(chain.first.id).tokens.toDouble() * knowledge.sharers() / maxOf(1, chain.roomTokens)
+
+    private fun distanceOf(chain: LayerChain): Double =
+        if (chain.first.availabilityZone == availabilityZone) 0.0 else OTHER_ZONE_FILL
+
     /** The chain of the own zone, those of other zones, and one over all zones, as far as there are any. */
     private fun chainsOf(question: RouteQuestion, engine: EngineDescription): List<LayerChain> {
         val held = chains.get()[question.service]
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/Message.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/Message.kt
@@ -21,6 +21,9 @@
 /** The start of an answer: its status and headers. */
 data class ResponseHead(val status: Int, val reason: String, val headers: List<Header>)
 
+/** A whole answer. */
+class WholeAnswer(val head: ResponseHead, val body: ByteArray)
+
 /** The first value of the header called [name], or null. */
 fun List<Header>.first(name: String): String? = firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnections.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnections.kt
@@ -2,10 +2,12 @@
 
 import cassiaspindle.core.concurrency.Sharded
 import cassiaspindle.transport.peer.HostAndPort
+import io.ktor.http.cio.ParserException
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
+import org.tinylog.kotlin.Logger
 import java.util.concurrent.atomic.AtomicLong
 
 private const val SHARDS = 8
@@ -15,6 +17,9 @@
 private const val USABLE_PERCENT = 60L
 private const val PERCENT = 100L
 
+/** Largest answer to a question or an order, in bytes. */
+private const val MAXIMUM_ANSWER_BYTES = 1024 * 1024
+
 /** Connections to backend servers, kept while they are idle, sharded by address. */
 class RunnerConnections(private val selector: SelectorManager, private val now: () -> Long) {
     private val shards = Sharded(SHARDS) { mutableMapOf<String, ArrayDeque<Idle>>() }
@@ -55,6 +60,27 @@
         dropped?.forEach { it.connection.close() }
     }
 
+    /** One exchange on a connection of its own, or null where it fails or takes longer than [timeoutMilliseconds]. */
+    suspend fun exchangeOnce(address: String, request: WholeRequest, timeoutMilliseconds: Long): WholeAnswer? =
+        withTimeoutOrNull(timeoutMilliseconds) {
+            try {
+                exchange(open(address), request)
+            } catch (problem: IOException) {
+                Logger.debug { "event=exchange_failed address=$address reason=${problem.javaClass.simpleName}" }
+                null
+            } catch (problem: ParserException) {
+                Logger.debug { "event=exchange_failed address=$address reason=${problem.javaClass.simpleName}" }
+                null
+            }
+        }
+
+    private suspend fun exchange(connection: RunnerConnection, request: WholeRequest): WholeAnswer = try {
+        connection.send(request)
+        WholeAnswer(connection.readHead(), connection.readWholeBody(MAXIMUM_ANSWER_BYTES))
+    } finally {
+        connection.close()
+    }
+
     private fun takeUsable(idle: ArrayDeque<Idle>, expired: MutableList<RunnerConnection>): RunnerConnection? {
         while (idle.isNotEmpty()) {
             val newest = idle.removeLast()
