--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -101,7 +101,15 @@
     private val core: CoreMember = CoreMember(CoreParts(settings, environment, peerSettings, state, link, scope))
     private val connections = RunnerConnections(selector, clock.monotonicMilliseconds)
     private val placement = PlacementRunner(
-        PlacementParts(state, connections, protocol.backEnds, log, clock.monotonicMilliseconds, core::leads, core::tell),
+        PlacementParts(
+            state,
+            connections,
+            protocol.backEnds,
+            log,
+            clock.monotonicMilliseconds,
+            core::leads,
+            core::tell
+        ),
         scope,
     )
     private val desk = relayDesk()
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/PlacementRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/PlacementRunner.kt
@@ -75,7 +75,13 @@
             .onSuccess { report ->
                 val layers = report.layers
                 if (controller.reported(runner.id, report.orders, layers, parts.now()) && layers != null) {
-                    parts.tell(runner.copy(firstLayer = layers.first, endLayer = layers.end, askedCount = runner.askedCount + 1))
+                    parts.tell(
+                        runner.copy(
+                            firstLayer = layers.first,
+                            endLayer = layers.end,
+                            askedCount = runner.askedCount + 1
+                        )
+                    )
                 }
             }
             .onFailure { parts.log.write("report_unreadable", "runner" to runner.id, "detail" to it.detail) }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
@@ -104,9 +104,13 @@
             if (wanted.isEmpty()) {
                 wanted += planPlacement(usable, engine)
             } else {
-                usable.groupBy(RunnerNotice::availabilityZone).values.forEach { wanted += rebalance(it, wanted, engine) }
+                usable.groupBy(
+                    RunnerNotice::availabilityZone
+                ).values.forEach { wanted += rebalance(it, wanted, engine) }
             }
-            return usable.groupBy(RunnerNotice::availabilityZone).values.flatMap { ordersFor(it, engine, nowMilliseconds) }
+            return usable.groupBy(
+                RunnerNotice::availabilityZone
+            ).values.flatMap { ordersFor(it, engine, nowMilliseconds) }
         }
 
         private fun note(usable: List<RunnerNotice>, nowMilliseconds: Long) {
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -30,7 +30,11 @@
                 repeat(200) { index ->
                     Socket("127.0.0.1", port).use { socket ->
                         socket.setSoLinger(true, 0)
-                        if (index % 4 == 1) socket.getOutputStream().write("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray())
+                        if (index % 4 == 1) {
+                            socket.getOutputStream().write(
+                                "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray()
+                            )
+                        }
                         if (index % 4 == 2) socket.getOutputStream().write("GET /sl".toByteArray())
                         if (index % 4 == 3) Thread.sleep(1)
                     }
