--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
@@ -116,7 +116,7 @@
     }
 
     /** Tells every entry VM about a backend server. */
-    fun tell(notice: RunnerNotice) = hub.heard(notice)
+    val tell: (RunnerNotice) -> Unit get() = hub::heard
 
     /** Takes what [peer] said of itself. */
     fun heard(peer: String, frame: PeerFrame) {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -108,7 +108,7 @@
             log,
             clock.monotonicMilliseconds,
             core::leads,
-            core::tell
+            core.tell
         ),
         scope,
     )
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/PlacementRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/PlacementRunner.kt
@@ -65,7 +65,7 @@
             "status" to answer?.head?.status,
             "result" to result,
         )
-        controller.answered(order, result, parts.now())
+        controller.answered(order, result)
     }
 
     private suspend fun ask(controller: PlacementController, runner: RunnerNotice) {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -132,7 +132,7 @@
         val notRun = attempt.failure == AttemptFailure.NotRun || attempt.failure == AttemptFailure.NotSent
         mayHaveRun = mayHaveRun || !notRun
         if (attempt.failure == AttemptFailure.NotSent) attempts--
-        attempt.faultAt?.let { blame(it, isLost = attempt.isStalled) }
+        attempt.faultAt?.let { parts.blame(it, isLost = attempt.isStalled) }
         val reached = situation
         val step = afterFailure(attempt.failure, reached) { parts.budget.spend(admitted.service) }
         lines.failed(attempt, choice, reached, step)
@@ -140,11 +140,6 @@
         return if (own == null) step else deliver(own, choice)
     }
 
-    private fun blame(address: String, isLost: Boolean) {
-        parts.suspicions.failed(address, parts.now())
-        if (isLost) parts.onLost(address)
-    }
-
     private suspend fun giveUp(code: ResultCode) {
         parts.metrics.count(code)
         lines.ended("request_failed", attempts, "code" to code.number, "name" to code)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
@@ -23,7 +23,13 @@
     val now: () -> Long,
     /** Tells the others that the backend server at an address is lost; must not wait. */
     val onLost: (address: String) -> Unit,
-)
+) {
+    /** Avoids the backend server at [address] for a while, and tells the others where it [isLost]. */
+    fun blame(address: String, isLost: Boolean) {
+        suspicions.failed(address, now())
+        if (isLost) onLost(address)
+    }
+}
 
 /** Takes admitted requests to backend servers and their answers back. */
 internal class RequestRelay(private val parts: RelayParts) {
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerOrder.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerOrder.kt
@@ -6,9 +6,9 @@
 /**
  * Whether [candidate] tells more than [held] about the same backend server.
  *
- * A later start goes first; within one start leaving is final, and otherwise the later announcement goes first, with
- * the answer to a question, and then silence, after the announcement that they follow. The order is the same everywhere, so that notices may arrive in any
- * order and more than once.
+ * A later start goes first; within one start leaving is final, and otherwise the later announcement goes first. After
+ * the same announcement come answers to questions, and then silence. The order is the same everywhere, so that notices
+ * may arrive in any order and more than once.
  */
 internal fun tellsMore(candidate: RunnerNotice, held: RunnerNotice): Boolean =
     compareValuesBy(
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
@@ -8,7 +8,7 @@
 /** No new runner for this long: the fleet counts as complete for the first plan, in milliseconds. */
 private const val SETTLED_MILLISECONDS = 1_500L
 
-/** Time after which an order whose effect was not reported is looked into, in milliseconds. */
+/** Time after which an order that was taken and whose effect was not reported is looked into, in milliseconds. */
 private const val ORDER_PATIENCE_MILLISECONDS = 14_000L
 
 /** An order to a runner to hold [range]; it fits only while the runner has taken [expectedOrders] orders. */
@@ -35,27 +35,29 @@
         shards.withIndex(0) { it.due(runners, engine, nowMilliseconds) }
 
     /** Takes the [result] of [order]. */
-    fun answered(order: PlacementOrder, result: OrderResult, nowMilliseconds: Long) = shards.withIndex(0) { state ->
+    fun answered(order: PlacementOrder, result: OrderResult) = shards.withIndex(0) { state ->
         val known = state.known[order.runner.id] ?: return@withIndex
         when (result) {
             OrderResult.ACCEPTED -> known.orders = order.expectedOrders + 1
             OrderResult.DONE -> Unit
-            OrderResult.CONFLICT -> known.inDoubtSinceMilliseconds = nowMilliseconds - ORDER_PATIENCE_MILLISECONDS - 1
-            OrderResult.UNANSWERED -> known.inDoubtSinceMilliseconds = nowMilliseconds
+            OrderResult.CONFLICT, OrderResult.UNANSWERED -> known.isOrderLost = true
         }
     }
 
     /**
      * Takes the state that the runner called [id] tells when asked: the number of [orders] that it has taken, which
-     * settles what has been in doubt for long, and the [range] that it holds. Gives whether an order has taken effect
-     * that the runner has not announced yet.
+     * settles what is in doubt, and the [range] that it holds. Gives whether an order has taken effect that the runner
+     * has not announced yet.
+     *
+     * An order whose answer was lost may be sent again at once: it names the number of orders that the runner has
+     * taken, so that of the two only the first to arrive fits.
      */
     fun reported(id: String, orders: Long, range: LayerRange?, nowMilliseconds: Long): Boolean =
         shards.withIndex(0) { state ->
             val known = state.known[id]
             if (known != null && known.isInDoubt(nowMilliseconds)) {
                 known.orders = orders
-                known.inDoubtSinceMilliseconds = null
+                known.isOrderLost = false
                 known.orderedMilliseconds = null
             }
             range != null && range == known?.orderedRange && range != known.runner.range()
@@ -81,13 +83,15 @@
         var orders = 0L
         var orderedMilliseconds: Long? = null
         var orderedRange: LayerRange? = null
-        var inDoubtSinceMilliseconds: Long? = null
+
+        /** Whether it is not known if the order was taken. */
+        var isOrderLost = false
 
         val isOutstanding: Boolean get() = orderedMilliseconds != null && orderedRange != runner.range()
 
         fun isInDoubt(nowMilliseconds: Long): Boolean {
-            val since = inDoubtSinceMilliseconds ?: orderedMilliseconds ?: return false
-            return nowMilliseconds - since > ORDER_PATIENCE_MILLISECONDS
+            val ordered = orderedMilliseconds ?: return false
+            return isOrderLost || nowMilliseconds - ordered > ORDER_PATIENCE_MILLISECONDS
         }
     }
 
@@ -146,7 +150,7 @@
         private fun orderFor(runner: RunnerNotice, range: LayerRange, nowMilliseconds: Long): PlacementOrder? {
             val state = known.getValue(runner.id)
             if (state.orderedRange == runner.range()) state.orderedMilliseconds = null
-            if (state.orderedMilliseconds != null || state.inDoubtSinceMilliseconds != null) return null
+            if (state.orderedMilliseconds != null) return null
             state.orderedMilliseconds = nowMilliseconds
             state.orderedRange = range
             return PlacementOrder(runner, range, state.orders)
