Wait for announcements before callers are sent to an entry VM, and say when to come back

Change: ready once a backend server is known or two heartbeats have passed; Retry-After follows the reason; a plain service is not blamed where the time of the request is over.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -84,6 +84,7 @@
     }
     private val metrics = Metrics()
     private val incarnation = clock.wallMilliseconds()
+    private val startedMilliseconds = clock.monotonicMilliseconds()
     private val draining = AtomicBoolean()
     private val peerSettings = PeerSettings(
         settings.peerAddress,
@@ -118,7 +119,7 @@
     private val server: RelayServer by lazy { RelayServer.start(handlers()) }
 
     /** Whether callers may be sent here. */
-    val isReady: Boolean get() = !draining.get() && state.configuration.version > 0
+    val isReady: Boolean get() = !draining.get() && state.configuration.version > 0 && knowsRunners()
 
     /** Serves for as long as the grace time allows, out of discovery, then stops. */
     fun close() {
@@ -165,6 +166,12 @@
         timer.scheduleWithFixedDelay(guarded, 0, milliseconds, TimeUnit.MILLISECONDS)
     }
 
+    /** A process that has just started waits for announcements, but not for long: there may be none. */
+    private fun knowsRunners(): Boolean {
+        val longEnough = clock.monotonicMilliseconds() - startedMilliseconds > settings.heartbeatMilliseconds * 2
+        return longEnough || state.runners.usable().isNotEmpty()
+    }
+
     private fun presence() = EntryPresence(
         name = settings.peerAddress,
         incarnation = incarnation,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -113,7 +113,7 @@
 
     /** Only a chain can wait for a runner other than the one that the request was sent to. */
     private fun waitFor(sending: Sending): PatientWait = if (sending.call.chain == null) {
-        PatientWait(sending.call.leftMilliseconds) { null }
+        PatientWait(Long.MAX_VALUE) { null }
     } else {
         PatientWait(stallMilliseconds + SILENCE_MARGIN_MILLISECONDS) {
             stalls.stalledAt(sending.address, sending.request.id)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/Refusal.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/Refusal.kt
@@ -8,8 +8,11 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 
-/** When a request that found no place may come back, in milliseconds. */
-private const val RETRY_AFTER_MILLISECONDS = 300L
+/** When a request that found no room may come back, in milliseconds. */
+private const val ROOM_AFTER_MILLISECONDS = 500L
+
+/** When a request may come back that found no backend server: they announce themselves and load, in milliseconds. */
+private const val BACK_END_AFTER_MILLISECONDS = 1_200L
 
 /** Headers too large; Ktor has no name for it. */
 private val HEADERS_TOO_LARGE = HttpStatusCode(value = 431, description = "Request Header Fields Too Large")
@@ -20,12 +23,15 @@
 /** Answers with [refusal]; [closing] headers tell the caller to go elsewhere. */
 internal suspend fun ApplicationCall.answer(refusal: Refusal, protocol: CallerProtocol, closing: List<Header>) {
     val status = statusOf(refusal.code)
-    val retryAfter = RETRY_AFTER_MILLISECONDS.takeIf { status == HttpStatusCode.ServiceUnavailable }
+    val retryAfter = retryAfterMilliseconds(refusal.code).takeIf { status == HttpStatusCode.ServiceUnavailable }
     val headers = protocol.refusalHeaders(refusal.id, retryAfter) + closing
     val body = "code=${refusal.code.number} name=${refusal.code}\n"
     answerWhole(ResponseHead(status.value, status.description, headers), body.encodeToByteArray())
 }
 
+private fun retryAfterMilliseconds(code: ResultCode): Long =
+    if (code == ResultCode.OVERLOADED) ROOM_AFTER_MILLISECONDS else BACK_END_AFTER_MILLISECONDS
+
 /** The status of a refused or failed request; 503 says that it did not run and will not. */
 internal fun statusOf(code: ResultCode): HttpStatusCode = when (code) {
     ResultCode.OK -> HttpStatusCode.OK
