Serve on while the disk fails, and take changed settings

Cause: a full or failing disk ended the whole process (a failed sync must not be followed by anything in memory), and a SIGHUP or a changed settings file did nothing. Change: the replica alone is given up and read again from what is durable; seeds follow the settings file, with or without a signal; what processes said of the replicas is forgotten after 5 s, so that replaced ones do not count for the majority that a leave needs. Test: a disk that fails and refuses once.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
@@ -8,7 +8,6 @@
 import cassiaspindle.daemon.relay.fleet.FleetLink
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.HubSurroundings
-import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.PeerFrameKind
 import cassiaspindle.schema.RelaySettings
@@ -18,15 +17,9 @@
 import cassiaspindle.transport.peer.PeerHandlers
 import cassiaspindle.transport.peer.PeerServer
 import cassiaspindle.transport.peer.PeerSettings
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.map
 import kotlinx.coroutines.CoroutineScope
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.Executors
-import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
-import java.util.concurrent.atomic.AtomicReference
 
 /** What a process works with among the control replicas. */
 internal data class CoreParts(
@@ -42,23 +35,20 @@
 internal class CoreMember(private val parts: CoreParts) {
     private val settings = parts.settings
     private val environment = parts.environment
-    private val host = AtomicReference<ReplicaHost?>(null)
-    private val memberships = ConcurrentHashMap<String, GroupMembership>()
+    private val slot = ReplicaSlot(environment.log, ::openReplica)
+    private val search = ReplicaSearch(environment.clock.monotonicMilliseconds, settings.seedPeerAddresses)
     private val toldVersion = AtomicLong()
-    private val ticker = Executors.newSingleThreadScheduledExecutor { task ->
-        Thread(task, "replica-ticker").apply { isDaemon = true }
-    }
     private val hub = FleetHub(
         parts.state,
         HubSurroundings(
             now = environment.clock.monotonicMilliseconds,
             broadcast = { server.broadcast(it) },
-            configuration = { host.get()?.performer?.node?.reads?.appliedConfiguration() },
+            configuration = { slot.replica?.performer?.node?.reads?.appliedConfiguration() },
             leads = ::leads,
             heartbeatMilliseconds = settings.heartbeatMilliseconds,
         ),
     )
-    private val desk = CoreDesk(hub, replica = { host.get() }, presence = ::presence, onPresence = ::heard)
+    private val desk = CoreDesk(hub, replica = { slot.replica }, presence = ::presence, onPresence = ::heard)
     private val server: PeerServer by lazy {
         PeerServer.start(
             HostAndPort.parse(settings.peerAddress),
@@ -71,80 +61,80 @@
         )
     }
 
-    /** Whether the replica of this process leads. */
-    fun leads(): Boolean = host.get()?.performer?.node?.reads?.leads() ?: false
+    /** Tells every entry VM about a backend server. */
+    val tell: (RunnerNotice) -> Unit get() = hub::heard
 
-    /** Opens the data folder where there is one; fails with a numbered code. */
-    fun open(): Result<Unit, Failure> {
-        val folder = settings.dataFolder ?: return Ok(Unit)
-        val replicaEnvironment = ReplicaEnvironment(
-            clock = environment.clock,
-            random = environment.random,
-            send = { peer, frame -> parts.link.send(peer, frame) },
-            replicas = { parts.link.replicas },
-            onPerformed = ::performed,
-            onFatal = environment.onFatal,
-        )
-        return ReplicaHost.open(settings, folder, replicaEnvironment).map { host.set(it) }
-    }
+    /** Whether the replica of this process leads. */
+    fun leads(): Boolean = slot.replica?.performer?.node?.reads?.leads() ?: false
 
-    /** Listens for other processes and starts the replica. */
+    /** Listens for other processes and opens the replica where there is a disk. */
     fun start() {
         server
         parts.link.connectTo(settings.seedPeerAddresses.toSet(), emptySet())
-        val replica = host.get() ?: return
-        replica.start()
-        val period = ReplicaHost.TICK_MILLISECONDS
-        ticker.scheduleWithFixedDelay({ tick(replica) }, period, period, TimeUnit.MILLISECONDS)
+        if (settings.dataFolder != null) slot.start()
     }
 
+    /** Takes other seeds. */
+    fun reseed(seeds: List<String>) = search.reseed(seeds)
+
     /** Asks everyone connected who the control replicas are, and connects to those that are known. */
     fun discover() {
         parts.link.sendToAll(presence())
-        val own = host.get()?.performer?.node?.membership()
-        val members = (memberships.values + listOfNotNull(own)).flatMap { it.voters + it.learners }.map(
-            Replica::name
-        ).toSet()
+        val members = search.members(slot.replica?.performer?.node?.membership())
         val self = setOfNotNull(settings.peerAddress.takeIf { settings.dataFolder != null })
-        val targets = if (members.isEmpty()) settings.seedPeerAddresses.toSet() + self else members + self
-        parts.link.connectTo(targets, members)
+        parts.link.connectTo(members.ifEmpty { search.seeds.toSet() } + self, members)
     }
 
     /** Does what is due for the entry VMs and backend servers that report here. */
     fun tickHub() {
-        if (host.get() != null) hub.tick()
+        if (slot.replica != null) hub.tick()
     }
 
-    /** Tells every entry VM about a backend server. */
-    val tell: (RunnerNotice) -> Unit get() = hub::heard
-
     /** Takes what [peer] said of itself. */
     fun heard(peer: String, frame: PeerFrame) {
-        frame.membership?.takeIf { it.voters.isNotEmpty() }?.let { memberships[peer] = it }
-        if (host.get()?.isUnsettled == true) host.get()?.identityChoice?.heard(frame)
+        frame.membership?.let { search.heard(peer, it) }
+        slot.replica?.takeIf(ReplicaHost::isUnsettled)?.identityChoice?.heard(frame)
     }
 
     /** Stops the replica after what waits is written. */
     fun close() {
-        ticker.shutdownNow()
         server.close()
-        host.get()?.close()
+        slot.close(CLOSE_MILLISECONDS)
     }
 
-    private fun tick(replica: ReplicaHost) {
-        runCatching(replica.performer::tick)
-            .onFailure { environment.log.write("task_failed", "reason" to it.toString()) }
-    }
+    private fun openReplica(onFailed: (Failure) -> Unit): Result<ReplicaHost, Failure> = ReplicaHost.open(
+        settings,
+        checkNotNull(settings.dataFolder),
+        ReplicaEnvironment(
+            clock = environment.clock,
+            random = environment.random,
+            send = { peer, frame -> parts.link.send(peer, frame) },
+            replicas = { parts.link.replicas },
+            onPerformed = ::performed,
+            onFatal = onFailed,
+        ),
+    )
 
     private fun presence(): PeerFrame {
-        val replica = host.get()
-        val known = replica?.performer?.node?.membership() ?: memberships.values.firstOrNull()
+        val replica = slot.replica
+        val known = replica?.performer?.node?.membership() ?: search.newest()
         val self = replica?.self ?: Replica(settings.peerAddress, identity = "")
-        return PeerFrame(PeerFrameKind.PRESENCE, sender = settings.peerAddress, replica = self, membership = known)
+        val isOpening = replica == null && settings.dataFolder != null
+        return PeerFrame(
+            PeerFrameKind.PRESENCE,
+            sender = settings.peerAddress,
+            replica = self.takeUnless { isOpening },
+            membership = known,
+        )
     }
 
     private fun performed(node: ControlNode) {
         val newest = node.reads.appliedConfiguration() ?: return
         if (toldVersion.getAndAccumulate(newest.version, ::maxOf) < newest.version) hub.applied(newest)
     }
+
+    private companion object {
+        /** Time for the last writes when the process stops, in milliseconds. */
+        const val CLOSE_MILLISECONDS = 300L
+    }
 }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -1,7 +1,6 @@
 package cassiaspindle.daemon.relay
 
 import cassiaspindle.core.concurrency.RandomSource
-import cassiaspindle.core.result.Failure
 import cassiaspindle.core.time.Clock
 import cassiaspindle.daemon.relay.control.ControlDesk
 import cassiaspindle.daemon.relay.control.PlacementParts
@@ -37,8 +36,6 @@
 import cassiaspindle.transport.relay.ResponseHead
 import cassiaspindle.transport.relay.RunnerConnections
 import cassiaspindle.transport.relay.answerWhole
-import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.map
 import io.ktor.network.selector.SelectorManager
 import io.ktor.server.application.ApplicationCall
 import io.micrometer.core.instrument.Gauge
@@ -68,8 +65,6 @@
     val clock: Clock,
     val random: RandomSource,
     val log: EventLog,
-    /** Called once the disk has failed; the process has to stop. */
-    val onFatal: (Failure) -> Unit,
 )
 
 /** An entry VM: relays requests, answers discovery, hears backend servers, and holds a control replica with a disk. */
@@ -121,6 +116,12 @@
     /** Whether callers may be sent here. */
     val isReady: Boolean get() = !draining.get() && state.configuration.version > 0 && knowsRunners()
 
+    /** Takes changed settings: other seeds; what a process is bound to does not change while it runs. */
+    fun reload(changed: RelaySettings) {
+        core.reseed(changed.seedPeerAddresses)
+        log.write("reloaded", "seeds" to changed.seedPeerAddresses)
+    }
+
     /** Serves for as long as the grace time allows, out of discovery, then stops. */
     fun close() {
         draining.set(true)
@@ -237,10 +238,8 @@
 
     /** Starting. */
     companion object {
-        /** Starts an entry VM; fails with a numbered code. */
-        fun start(settings: RelaySettings, environment: RelayEnvironment): Result<RelayDaemon, Failure> {
-            val daemon = RelayDaemon(settings, environment)
-            return daemon.core.open().map { daemon.apply { begin() } }
-        }
+        /** Starts an entry VM. */
+        fun start(settings: RelaySettings, environment: RelayEnvironment): RelayDaemon =
+            RelayDaemon(settings, environment).apply { begin() }
     }
 }
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaSearch.kt
@@ -0,0 +1,41 @@
+package cassiaspindle.daemon.relay
+
+import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.Replica
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicReference
+
+/** Time after which what another process said of the control replicas is forgotten, in milliseconds. */
+private const val REMEMBERED_MILLISECONDS = 5_000L
+
+/** Who the control replicas are, as far as other processes say. */
+internal class ReplicaSearch(private val now: () -> Long, firstSeeds: List<String>) {
+    private val told = ConcurrentHashMap<String, Told>()
+    private val currentSeeds = AtomicReference(firstSeeds)
+    private val known = AtomicReference<Set<String>>(emptySet())
+
+    /** Peer addresses to ask while no replica is known. */
+    val seeds: List<String> get() = currentSeeds.get()
+
+    /** Takes other seeds. */
+    fun reseed(seeds: List<String>) = currentSeeds.set(seeds)
+
+    /** Takes what [peer] says. */
+    fun heard(peer: String, membership: GroupMembership) {
+        if (membership.voters.isNotEmpty()) told[peer] = Told(membership, now())
+    }
+
+    /** What was said last, or null. */
+    fun newest(): GroupMembership? = told.values.maxByOrNull(Told::milliseconds)?.membership
+
+    /** Peer addresses of the replicas that anybody named lately, with those of the [own] membership. */
+    fun members(own: GroupMembership?): Set<String> {
+        told.values.removeIf { now() - it.milliseconds > REMEMBERED_MILLISECONDS }
+        val memberships = told.values.map(Told::membership) + listOfNotNull(own)
+        val named = memberships.flatMap { it.voters + it.learners }.map(Replica::name).toSet()
+        if (named.isNotEmpty()) known.set(named)
+        return known.get()
+    }
+
+    private data class Told(val membership: GroupMembership, val milliseconds: Long)
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ReplicaHost.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ReplicaHost.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.control.group.ControlNodeSettings
 import cassiaspindle.core.concurrency.RandomSource
 import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
 import cassiaspindle.core.time.Clock
 import cassiaspindle.daemon.control.DurableHandlers
 import cassiaspindle.daemon.control.DurableWriter
@@ -19,9 +20,12 @@
 import cassiaspindle.storage.DurableLog
 import cassiaspindle.storage.GroupReplay
 import cassiaspindle.storage.OpenedLog
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
-import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
+import java.io.IOException
 import java.nio.file.Path
 
 /** Silence after which a replica asks for an election, in milliseconds. */
@@ -43,7 +47,7 @@
     val replicas: () -> Set<String>,
     /** Called after each call of the replica; must not wait. */
     val onPerformed: (ControlNode) -> Unit,
-    /** The disk failed; the process has to stop. */
+    /** The disk failed; what is in memory may not be durable, and the replica has to be read again. */
     val onFatal: (Failure) -> Unit,
 )
 
@@ -78,10 +82,7 @@
         if (beginning != null) {
             run(beginning)
         } else {
-            identityChoice.beginning.thenAccept {
-                folder.writeBeginning(it)
-                run(it)
-            }
+            identityChoice.beginning.thenAccept(::begin)
             identityChoice.decide()
         }
     }
@@ -95,6 +96,13 @@
         folder.close()
     }
 
+    private fun begin(beginning: GroupMembership) = try {
+        folder.writeBeginning(beginning)
+        run(beginning)
+    } catch (problem: IOException) {
+        environment.onFatal(Failure(ResultCode.SYNC_FAILED, "the beginning can't be written: ${problem.message}"))
+    }
+
     private fun run(beginning: GroupMembership) {
         val replay = GroupReplay(beginning)
         opened.records.forEach(replay::add)
@@ -124,7 +132,21 @@
             folder: String,
             environment: ReplicaEnvironment,
         ): Result<ReplicaHost, Failure> = DataFolder.open(Path.of(folder)).flatMap { opened ->
-            DurableLog.open(opened.files).map { ReplicaHost(settings, environment, opened, it) }
+            DurableLog.open(opened.files)
+                .flatMap { create(settings, environment, opened, it) }
+                .onFailure { opened.close() }
+        }
+
+        /** The identity of a new folder is written here, which a full disk refuses. */
+        private fun create(
+            settings: RelaySettings,
+            environment: ReplicaEnvironment,
+            folder: DataFolder,
+            log: OpenedLog,
+        ): Result<ReplicaHost, Failure> = try {
+            Ok(ReplicaHost(settings, environment, folder, log))
+        } catch (problem: IOException) {
+            Err(Failure(ResultCode.SYNC_FAILED, "the identity can't be written: ${problem.message}"))
         }
     }
 }
--- /dev/null
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/ReplicaSlotTest.kt
@@ -0,0 +1,69 @@
+package cassiaspindle.daemon.relay
+
+import cassiaspindle.core.concurrency.seededRandom
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.core.time.Clock
+import cassiaspindle.daemon.relay.control.ReplicaEnvironment
+import cassiaspindle.daemon.relay.control.ReplicaHost
+import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.schema.RelaySettings
+import com.github.michaelbull.result.Err
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import java.io.OutputStream
+import java.io.PrintStream
+import java.nio.file.Files
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.seconds
+
+class ReplicaSlotTest : AnnotationSpec() {
+    private val log = EventLog(PrintStream(OutputStream.nullOutputStream())) { 0 }
+    private val folder = Files.createTempDirectory("replica-slot").toString()
+    private val settings = RelaySettings(
+        name = "one",
+        availabilityZone = "a",
+        callerAddress = "h:1",
+        readyAddress = "h:2",
+        controlAddress = "h:3",
+        discoveryAddress = "h:4",
+        peerAddress = "h:5",
+        seedPeerAddresses = listOf("h:5"),
+        foundsSystem = true,
+    )
+
+    private fun open(onFailed: (Failure) -> Unit) = ReplicaHost.open(
+        settings,
+        folder,
+        ReplicaEnvironment(
+            clock = Clock.system,
+            random = seededRandom(1),
+            send = { _, _ -> },
+            replicas = { emptySet() },
+            onPerformed = {},
+            onFatal = onFailed,
+        ),
+    )
+
+    @Test
+    suspend fun `a replica whose disk failed is read again with its identity once the disk works`() {
+        val fail = AtomicReference<(Failure) -> Unit>()
+        val opens = AtomicInteger()
+        val slot = ReplicaSlot(log) { onFailed ->
+            fail.set(onFailed)
+            val full = opens.getAndIncrement() == 1
+            if (full) Err(Failure(ResultCode.SYNC_FAILED)) else open(onFailed)
+        }
+        slot.start()
+        eventually(5.seconds) { slot.replica?.performer?.node?.membership() shouldNotBe null }
+        val identity = slot.replica?.self
+        fail.get()(Failure(ResultCode.SYNC_FAILED))
+        eventually(5.seconds) { slot.replica shouldBe null }
+        eventually(5.seconds) { slot.replica?.performer?.node?.membership()?.voters shouldBe listOf(identity) }
+        opens.get() shouldBe 3
+        slot.close(milliseconds = 1_000)
+    }
+}
