--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/EntryStanding.kt
@@ -0,0 +1,42 @@
+package cassiaspindle.daemon.relay
+
+import cassiaspindle.core.time.Clock
+import cassiaspindle.daemon.relay.fleet.FleetState
+import cassiaspindle.daemon.relay.fleet.digestOf
+import cassiaspindle.schema.EntryPresence
+import cassiaspindle.schema.RelaySettings
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** Whether callers may be sent to this entry VM, and what it says of itself. */
+internal class EntryStanding(
+    private val settings: RelaySettings,
+    private val clock: Clock,
+    private val state: FleetState,
+) {
+    private val incarnation = clock.wallMilliseconds()
+    private val startedMilliseconds = clock.monotonicMilliseconds()
+    private val draining = AtomicBoolean()
+
+    /** Whether callers may be sent here. */
+    val isReady: Boolean get() = !draining.get() && state.configuration.version > 0 && knowsRunners()
+
+    /** From now on callers are sent elsewhere. */
+    fun drain() = draining.set(true)
+
+    /** What this entry VM says of itself. */
+    fun presence() = EntryPresence(
+        name = settings.peerAddress,
+        incarnation = incarnation,
+        availabilityZone = settings.availabilityZone,
+        callerAddress = settings.callerAddress,
+        ready = isReady,
+        configurationVersion = state.configuration.version,
+        fleetDigest = digestOf(state.runners.digest(), state.entries.entries),
+    )
+
+    /** A process that has just started waits for announcements, but not for long: there may be none. */
+    private fun knowsRunners(): Boolean {
+        val longEnough = clock.monotonicMilliseconds() - startedMilliseconds > settings.heartbeatMilliseconds * 2
+        return longEnough || state.runners.usable().isNotEmpty()
+    }
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -8,7 +8,6 @@
 import cassiaspindle.daemon.relay.fleet.FleetLink
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.LinkHandlers
-import cassiaspindle.daemon.relay.fleet.digestOf
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.daemon.relay.protocol.RelayProtocol
 import cassiaspindle.daemon.relay.request.AttemptRunner
@@ -24,7 +23,6 @@
 import cassiaspindle.relay.route.LoadTable
 import cassiaspindle.relay.route.RouteKnowledge
 import cassiaspindle.relay.route.SuspicionTable
-import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.RelaySettings
 import cassiaspindle.schema.RunnerState
 import cassiaspindle.transport.http.server.Metrics
@@ -47,7 +45,6 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicBoolean
 
 private const val PRESENCE_MILLISECONDS = 400L
 private const val DISCOVER_MILLISECONDS = 300L
@@ -78,9 +75,6 @@
         Thread(task, "relay-timer").apply { isDaemon = true }
     }
     private val metrics = Metrics()
-    private val incarnation = clock.wallMilliseconds()
-    private val startedMilliseconds = clock.monotonicMilliseconds()
-    private val draining = AtomicBoolean()
     private val peerSettings = PeerSettings(
         settings.peerAddress,
         settings.systemKey,
@@ -95,6 +89,7 @@
         LinkHandlers(state::take) { peer, frame -> core.heard(peer, frame) }
     )
     private val core: CoreMember = CoreMember(CoreParts(settings, environment, peerSettings, state, link, scope))
+    private val standing = EntryStanding(settings, clock, state)
     private val connections = RunnerConnections(selector, clock.monotonicMilliseconds)
     private val placement = PlacementRunner(
         PlacementParts(
@@ -113,9 +108,6 @@
     private val discoveryDesk = DiscoveryDesk(protocol.callers, state, settings.discoveryLifetimeMilliseconds)
     private val server: RelayServer by lazy { RelayServer.start(handlers()) }
 
-    /** Whether callers may be sent here. */
-    val isReady: Boolean get() = !draining.get() && state.configuration.version > 0 && knowsRunners()
-
     /** Takes changed settings: other seeds; what a process is bound to does not change while it runs. */
     fun reload(changed: RelaySettings) {
         core.reseed(changed.seedPeerAddresses)
@@ -124,10 +116,10 @@
 
     /** Serves for as long as the grace time allows, out of discovery, then stops. */
     fun close() {
-        draining.set(true)
+        standing.drain()
         desk.drain()
         log.write("stopping", "in_flight" to desk.inFlight)
-        link.tell(presence())
+        link.tell(standing.presence())
         DrainWait(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds, clock).await { desk.inFlight }
         timer.shutdownNow()
         server.close()
@@ -146,7 +138,7 @@
         core.start()
         server
         every(DISCOVER_MILLISECONDS, core::discover)
-        every(PRESENCE_MILLISECONDS) { link.tell(presence()) }
+        every(PRESENCE_MILLISECONDS) { link.tell(standing.presence()) }
         every(PLACEMENT_MILLISECONDS, placement::tick)
         every(HUB_MILLISECONDS, core::tickHub)
         log.write(
@@ -167,22 +159,6 @@
         timer.scheduleWithFixedDelay(guarded, 0, milliseconds, TimeUnit.MILLISECONDS)
     }
 
-    /** A process that has just started waits for announcements, but not for long: there may be none. */
-    private fun knowsRunners(): Boolean {
-        val longEnough = clock.monotonicMilliseconds() - startedMilliseconds > settings.heartbeatMilliseconds * 2
-        return longEnough || state.runners.usable().isNotEmpty()
-    }
-
-    private fun presence() = EntryPresence(
-        name = settings.peerAddress,
-        incarnation = incarnation,
-        availabilityZone = settings.availabilityZone,
-        callerAddress = settings.callerAddress,
-        ready = isReady,
-        configurationVersion = state.configuration.version,
-        fleetDigest = digestOf(state.runners.digest(), state.entries.entries),
-    )
-
     private fun relayDesk(): RelayDesk {
         val suspicions = SuspicionTable()
         val loads = LoadTable()
@@ -227,7 +203,7 @@
     ).toMap()
 
     private suspend fun answerReady(call: ApplicationCall) {
-        val status = if (isReady) STATUS_OK else STATUS_UNAVAILABLE
+        val status = if (standing.isReady) STATUS_OK else STATUS_UNAVAILABLE
         call.answerWhole(ResponseHead(status, reason = "", emptyList()), ByteArray(0))
     }
 
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaSlot.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaSlot.kt
@@ -17,8 +17,8 @@
  * The control replica of this process, where the disk works.
  *
  * A replica whose disk fails is given up, as if its process had ended; the entry VM serves on, and the replica is read
- * again from what is durable once the disk works. Everything that opens, ticks and closes runs on one thread of its own,
- * so that a disk that hangs blocks nothing else.
+ * again from what is durable once the disk works. Everything that opens, ticks and closes runs on one thread of its
+ * own, so that a disk that hangs blocks nothing else.
  */
 internal class ReplicaSlot(
     private val log: EventLog,
