Leave a silent plain service while another one may be tried

Cause: a runner that hangs, or a connection that went silent, held a read until the route's timeout, though the read may be repeated. Change: after two objectives, 400 ms at least, the attempt is broken off and the read goes to another instance, out of the shared budget. Test: a runner that stays silent. Not measured yet.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -25,6 +25,8 @@
     val call: RunnerCall,
     /** Host and port of the backend server. */
     val address: String,
+    /** How long a plain service may stay silent, in milliseconds. */
+    val patienceMilliseconds: Long,
 ) {
     override fun equals(other: Any?): Boolean = this === other
 
@@ -113,7 +115,7 @@
 
     /** Only a chain can wait for a runner other than the one that the request was sent to. */
     private fun waitFor(sending: Sending): PatientWait = if (sending.call.chain == null) {
-        PatientWait(Long.MAX_VALUE) { null }
+        PatientWait(sending.patienceMilliseconds) { null }
     } else {
         PatientWait(stallMilliseconds + SILENCE_MARGIN_MILLISECONDS) {
             stalls.stalledAt(sending.address, sending.request.id)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -5,6 +5,7 @@
 import cassiaspindle.relay.request.AttemptSituation
 import cassiaspindle.relay.request.NextStep
 import cassiaspindle.relay.request.afterFailure
+import cassiaspindle.relay.request.patienceOf
 import cassiaspindle.relay.request.stepOutOfTime
 import cassiaspindle.relay.request.stepWithoutPlace
 import cassiaspindle.relay.route.RouteChoice
@@ -64,7 +65,8 @@
             request,
             relaying.body,
             relaying.callTo(choice, left, lastEventId),
-            choice.backEnd.address
+            choice.backEnd.address,
+            patienceOf(situation),
         )
         lines.begun(choice, attempts, left, lastEventId)
         parts.loads.begin(choice.ids, tokens)
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
@@ -5,6 +5,10 @@
 import cassiaspindle.schema.RelayRoute
 import cassiaspindle.schema.RelayRouteKind
 
+/** Objectives after which a silent backend server is left. */
+private const val PATIENT_OBJECTIVES = 2
+private const val SHORTEST_PATIENCE_MILLISECONDS = 400L
+
 /** How an attempt at a backend server ended without a whole answer. */
 sealed interface AttemptFailure {
     /** No byte of the request left for the backend server. */
@@ -47,6 +51,17 @@
 internal fun mayRepeat(route: RelayRoute): Boolean =
     route.kind == RelayRouteKind.IDEMPOTENT || (route.kind == RelayRouteKind.STREAM && route.resumable)
 
+/**
+ * How long an attempt at a plain service may stay silent, in milliseconds.
+ *
+ * A request that may be repeated leaves a silent backend server while there is time for another one.
+ */
+fun patienceOf(situation: AttemptSituation): Long {
+    val hasAnother = mayRepeat(situation.route) && situation.attempts < situation.route.maximumAttempts
+    val patience = maxOf(SHORTEST_PATIENCE_MILLISECONDS, situation.route.objectiveMilliseconds * PATIENT_OBJECTIVES)
+    return if (hasAnother) patience else Long.MAX_VALUE
+}
+
 /** Decides what follows [failure]; [spend] takes a repeat from the budget and is asked last. */
 fun afterFailure(failure: AttemptFailure, situation: AttemptSituation, spend: () -> Boolean): NextStep {
     val notRun = failure == AttemptFailure.NotRun || failure == AttemptFailure.NotSent
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/request/AttemptDecisionTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/request/AttemptDecisionTest.kt
@@ -57,6 +57,15 @@
             NextStep.GiveUp(ResultCode.DEADLINE_PASSED)
     }
 
+    @Test
+    fun `only a request that may be sent to another server leaves a silent one`() {
+        val quick = read.copy(objectiveMilliseconds = 300)
+        patienceOf(situation(quick, attempts = 1)) shouldBe 600
+        patienceOf(situation(quick.copy(objectiveMilliseconds = 10), attempts = 1)) shouldBe 400
+        patienceOf(situation(quick, attempts = 2)) shouldBe Long.MAX_VALUE
+        patienceOf(situation(order, attempts = 1)) shouldBe Long.MAX_VALUE
+    }
+
     @Test
     fun `a budget runs out and is earned again by requests`() {
         val budget = RetryBudget(ratio = 0.2, reserve = 60.0, entries = { 60 })
