End a stream at the timeout of its route, and leave a broken one before going on elsewhere

Cause: only the time until the first event was bounded by the route's timeout; and the connection of a broken attempt stayed open while the stream went on at another runner, which may still have worked on it. Change: the time is looked at with each event and each silence; the old connection is closed first.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -172,6 +172,7 @@
                     protocol.backEnds,
                     StallWatch(connections, protocol.backEnds, clock.monotonicMilliseconds),
                     settings.stallMilliseconds,
+                    clock.monotonicMilliseconds,
                 ),
                 suspicions = suspicions,
                 loads = loads,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -58,6 +58,7 @@
     private val protocol: BackEndProtocol,
     private val stalls: StallWatch,
     private val stallMilliseconds: Long,
+    private val now: () -> Long,
 ) {
     /**
      * Makes one attempt and hands its result to [use]; the connection is kept or closed afterwards, and closed where
@@ -114,11 +115,14 @@
         if (open.awaitEvent()) Attempt.Streaming(open) else broken(sending, "stream_without_events")
 
     /** Only a chain can wait for a runner other than the one that the request was sent to. */
-    private fun waitFor(sending: Sending): PatientWait = if (sending.call.chain == null) {
-        PatientWait(sending.patienceMilliseconds) { null }
-    } else {
-        PatientWait(stallMilliseconds + SILENCE_MARGIN_MILLISECONDS) {
-            stalls.stalledAt(sending.address, sending.request.id)
+    private fun waitFor(sending: Sending): PatientWait {
+        val end = now() + sending.call.leftMilliseconds
+        return if (sending.call.chain == null) {
+            PatientWait(sending.patienceMilliseconds, { end - now() }, stalledAt = { null })
+        } else {
+            PatientWait(stallMilliseconds + SILENCE_MARGIN_MILLISECONDS, { end - now() }) {
+                stalls.stalledAt(sending.address, sending.request.id)
+            }
         }
     }
 
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/OpenAnswer.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/OpenAnswer.kt
@@ -28,6 +28,9 @@
     /** The next whole event, or null after the last one; throws [IOException] where the stream breaks off. */
     suspend fun nextEvent(): StreamEvent? = if (awaitEvent()) ready.removeFirst() else null
 
+    /** Ends the connection, so that the backend server does no more for it. */
+    fun abandon() = connection.close()
+
     private suspend fun readSome(): ByteArray? {
         val bytes = wait.forValue { connection.readBody() }
         if (bytes == null && splitter.holdsPart) throw EOFException("the stream ended within an event")
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/PatientWait.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/PatientWait.kt
@@ -14,11 +14,12 @@
 /**
  * Waits for what a backend server sends.
  *
- * After some silence [stalledAt] is asked for the runner that the request waits for; where it names one, and at the
- * latest after [longestMilliseconds], the wait ends.
+ * After some silence [stalledAt] is asked for the runner that the request waits for; where it names one, at the latest
+ * after [longestMilliseconds], and where [leftMilliseconds] tells that the time of the request is over, the wait ends.
  */
 internal class PatientWait(
     private val longestMilliseconds: Long,
+    private val leftMilliseconds: () -> Long,
     private val stalledAt: suspend () -> String?,
 ) {
     /** The value of [read]; throws [StalledException] or another [IOException] where it does not come. */
@@ -26,16 +27,19 @@
         val reading = async { runCatching { read() } }
         try {
             var waited = 0L
-            var result = withTimeoutOrNull(QUIET_MILLISECONDS) { reading.await() }
+            var result = withTimeoutOrNull(quiet()) { reading.await() }
             while (result == null) {
                 waited += QUIET_MILLISECONDS
+                if (leftMilliseconds() <= 0) throw IOException("the time of the request is over")
                 stalledAt()?.let { throw StalledException(it) }
                 if (waited >= longestMilliseconds) throw IOException("nothing within $longestMilliseconds ms")
-                result = withTimeoutOrNull(QUIET_MILLISECONDS) { reading.await() }
+                result = withTimeoutOrNull(quiet()) { reading.await() }
             }
             result.getOrThrow()
         } finally {
             reading.cancel()
         }
     }
+
+    private fun quiet() = minOf(QUIET_MILLISECONDS, maxOf(1, leftMilliseconds()))
 }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -114,11 +114,13 @@
                 val failure = AttemptFailure.BrokenStream(lastEventId)
                 val faultAt = (problem as? StalledException)?.faultAt
                 val reason = "stream_broke:${problem.message}"
+                open.abandon()
                 return failed(Attempt.Failed(failure, reason, faultAt, isStalled = faultAt != null), choice)
             }
             writer(event.bytes)
             if (firstEventMilliseconds == null) firstEventMilliseconds = parts.now() - relaying.begunMilliseconds
             lastEventId = event.id ?: lastEventId
+            if (left <= 0) return stepOutOfTime(isStreaming = true)
         }
         parts.suspicions.succeeded(choice.backEnd.address)
         lines.ended(
