--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/OpenAnswer.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/OpenAnswer.kt
@@ -7,6 +7,18 @@
 import kotlinx.io.EOFException
 import kotlinx.io.IOException
 
+/** What comes next in a stream. */
+internal sealed interface StreamRead {
+    /** A whole event. */
+    class Event(val event: StreamEvent) : StreamRead
+
+    /** The stream is whole. */
+    data object End : StreamRead
+
+    /** The stream broke off for [reason]; [lostRunner] is the address of the runner that it waits for, where known. */
+    class Broken(val reason: String, val lostRunner: String?) : StreamRead
+}
+
 /** A stream of events that a backend server has begun, read event by event. */
 internal class OpenAnswer(
     val answer: RunnerAnswer,
@@ -25,11 +37,13 @@
         return true
     }
 
-    /** The next whole event, or null after the last one; throws [IOException] where the stream breaks off. */
-    suspend fun nextEvent(): StreamEvent? = if (awaitEvent()) ready.removeFirst() else null
-
-    /** Ends the connection, so that the backend server does no more for it. */
-    fun abandon() = connection.close()
+    /** The next whole event, the end, or how the stream broke off; its connection is closed then. */
+    suspend fun read(): StreamRead = try {
+        if (awaitEvent()) StreamRead.Event(ready.removeFirst()) else StreamRead.End
+    } catch (problem: IOException) {
+        connection.close()
+        StreamRead.Broken(problem.message.orEmpty(), (problem as? StalledException)?.faultAt)
+    }
 
     private suspend fun readSome(): ByteArray? {
         val bytes = wait.forValue { connection.readBody() }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -71,23 +71,21 @@
         lines.begun(choice, attempts, left, lastEventId)
         parts.loads.begin(choice.ids, tokens)
         return try {
-            parts.attempts.attempt(sending) { follow(it, choice) }
+            parts.attempts.attempt(sending) { attempt ->
+                when (attempt) {
+                    is Attempt.Whole -> deliver(attempt, choice)
+                    is Attempt.Streaming -> stream(attempt.open, choice)
+                    is Attempt.Failed -> failed(attempt, choice)
+                }
+            }
         } finally {
             parts.loads.end(choice.ids, tokens)
         }
     }
 
-    private suspend fun follow(attempt: Attempt, choice: RouteChoice): NextStep? = when (attempt) {
-        is Attempt.Whole -> deliver(attempt, choice)
-        is Attempt.Streaming -> stream(attempt.open, choice)
-        is Attempt.Failed -> failed(attempt, choice)
-    }
-
     private suspend fun deliver(attempt: Attempt.Whole, choice: RouteChoice): NextStep? {
-        parts.suspicions.succeeded(choice.backEnd.address)
         call.answerWhole(relaying.headOf(attempt.answer), attempt.body)
-        lines.ended("request_answered", attempts, "status" to attempt.answer.status)
-        return null
+        return answered(choice, "status" to attempt.answer.status)
     }
 
     private suspend fun stream(open: OpenAnswer, choice: RouteChoice): NextStep? {
@@ -106,29 +104,32 @@
     }
 
     /** Passes events on until the stream ends; null where it is whole. */
-    private suspend fun pump(open: OpenAnswer, choice: RouteChoice, writer: suspend (ByteArray) -> Unit): NextStep? {
-        while (true) {
-            val event = try {
-                open.nextEvent() ?: break
-            } catch (problem: IOException) {
+    private suspend fun pump(
+        open: OpenAnswer,
+        choice: RouteChoice,
+        writer: suspend (ByteArray) -> Unit,
+    ): NextStep? {
+        var read = open.read()
+        while (read is StreamRead.Event && left > 0) {
+            writer(read.event.bytes)
+            if (firstEventMilliseconds == null) firstEventMilliseconds = parts.now() - relaying.begunMilliseconds
+            lastEventId = read.event.id ?: lastEventId
+            read = open.read()
+        }
+        return when (read) {
+            is StreamRead.Event -> stepOutOfTime(isStreaming = true)
+            StreamRead.End -> answered(choice, "first_event_ms" to firstEventMilliseconds, "last_event" to lastEventId)
+            is StreamRead.Broken -> {
                 val failure = AttemptFailure.BrokenStream(lastEventId)
-                val faultAt = (problem as? StalledException)?.faultAt
-                val reason = "stream_broke:${problem.message}"
-                open.abandon()
-                return failed(Attempt.Failed(failure, reason, faultAt, isStalled = faultAt != null), choice)
+                val reason = "stream_broke:${read.reason}"
+                failed(Attempt.Failed(failure, reason, read.lostRunner, isStalled = read.lostRunner != null), choice)
             }
-            writer(event.bytes)
-            if (firstEventMilliseconds == null) firstEventMilliseconds = parts.now() - relaying.begunMilliseconds
-            lastEventId = event.id ?: lastEventId
-            if (left <= 0) return stepOutOfTime(isStreaming = true)
         }
+    }
+
+    private fun answered(choice: RouteChoice, vararg fields: Pair<String, Any?>): NextStep? {
         parts.suspicions.succeeded(choice.backEnd.address)
-        lines.ended(
-            "request_answered",
-            attempts,
-            "first_event_ms" to firstEventMilliseconds,
-            "last_event" to lastEventId
-        )
+        lines.ended("request_answered", attempts, *fields)
         return null
     }
 
