Repair while new runners keep coming, and let spare runners take whole gaps

When they came, several gaps moved every boundary far, so that runners gave up what they held. Change: only the first plan waits for the fleet to settle; each spare runner takes a whole gap where it keeps room for 40 usual requests, and boundaries move only for what is left. Not measured yet.

--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
@@ -104,7 +104,7 @@
             val usable = runners.filter { it.isUsable }
             note(usable, nowMilliseconds)
             val isSettled = nowMilliseconds - newestRunnerMilliseconds >= SETTLED_MILLISECONDS
-            if (usable.isEmpty() || !isSettled) return emptyList()
+            if (usable.isEmpty() || (wanted.isEmpty() && !isSettled)) return emptyList()
             if (wanted.isEmpty()) {
                 wanted += planPlacement(usable, engine)
             } else {
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementRepair.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementRepair.kt
@@ -3,6 +3,9 @@
 import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
 
+/** Usual requests that a runner needs room for beside a gap that it takes whole. */
+private const val USUAL_REQUESTS = 40
+
 /** The layers of [engine] that no range in [held] covers, as runs. */
 internal fun gapsOf(held: Collection<LayerRange>, engine: EngineDescription): List<LayerRange> {
     val missing = (0 until engine.layers).filter { layer -> held.none { layer in it } }
@@ -13,9 +16,9 @@
 /**
  * What [runners] of one zone are to hold, given what they are [wanted] to hold; the same where nothing is missing.
  *
- * Where layers are missing, all boundaries move a little, so that the room for tokens stays in proportion and every
- * runner loads few layers; a runner without layers comes in at the first gap. Where the memory holds no copy, nothing
- * changes and other zones serve.
+ * A runner without layers takes a gap that leaves it room for tokens. Where layers are still missing, all boundaries
+ * move a little, so that the room for tokens stays in proportion and every runner loads few layers. Where the memory
+ * holds no copy, nothing changes and other zones serve.
  */
 internal fun rebalance(
     runners: List<RunnerNotice>,
@@ -23,11 +26,30 @@
     engine: EngineDescription,
 ): Map<String, LayerRange> {
     val held = runners.mapNotNull { runner -> wanted[runner.id]?.let { runner.id to it } }.toMap()
-    val gap = gapsOf(held.values, engine).firstOrNull() ?: return held
-    val inOrder = runners.sortedBy { held[it.id]?.first ?: gap.first }
+    val filled = fillGaps(runners, held, engine)
+    val gap = gapsOf(filled.values, engine).firstOrNull() ?: return filled
+    val inOrder = runners.sortedBy { filled[it.id]?.first ?: gap.first }
     return planInOrder(inOrder, engine) ?: held
 }
 
+/** [held] with the gaps that runners without layers can take, each by the smallest one that has room beside them. */
+private fun fillGaps(
+    runners: List<RunnerNotice>,
+    held: Map<String, LayerRange>,
+    engine: EngineDescription,
+): Map<String, LayerRange> {
+    val filled = held.toMutableMap()
+    val needed = USUAL_REQUESTS * (engine.usualPromptTokens + engine.usualAnswerTokens)
+    gapsOf(held.values, engine).sortedByDescending(LayerRange::size).forEach { gap ->
+        runners.filter { it.id !in filled }
+            .mapNotNull { runner -> engine.kindOf(runner)?.let { runner to it } }
+            .filter { (_, kind) -> engine.roomTokens(kind, gap.size) >= needed }
+            .minByOrNull { (_, kind) -> kind.memoryMegabytes }
+            ?.let { (runner, _) -> filled[runner.id] = gap }
+    }
+    return filled
+}
+
 /**
  * The next range to order a runner that reports [reported] and is to hold [target], or null where none is due.
  *
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/PlacementPlanTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/PlacementPlanTest.kt
@@ -85,6 +85,15 @@
         after.getValue("spare") shouldBe plan.getValue("s3")
     }
 
+    @Test
+    fun `several spare runners take a gap each and nobody else moves`() {
+        val plan = planPlacement(zone, engine)
+        val left = zone.filter { it.id !in setOf("s3", "s9") }
+        val after = rebalance(left + runner("t1") + runner("t2"), plan - "s3" - "s9", engine)
+        left.forEach { after.getValue(it.id) shouldBe plan.getValue(it.id) }
+        setOf(after.getValue("t1"), after.getValue("t2")) shouldBe setOf(plan.getValue("s3"), plan.getValue("s9"))
+    }
+
     @Test
     fun `a zone that holds no copy any more keeps what it has`() {
         val plan = planPlacement(zone, engine)
