--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplyDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplyDesk.kt
@@ -5,17 +5,19 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
+/** A reply that is waited for. */
+internal data class ExpectedReply(val correlation: Long, val frame: CompletableDeferred<PeerFrame>)
+
 /** The frames that wait for a reply, by correlation. */
 internal class ReplyDesk {
     private val waiting = ConcurrentHashMap<Long, CompletableDeferred<PeerFrame>>()
     private val nextCorrelation = AtomicLong()
 
     /** Gives out a correlation and what its reply completes. */
-    fun expect(): Pair<Long, CompletableDeferred<PeerFrame>> {
-        val correlation = nextCorrelation.incrementAndGet()
-        val reply = CompletableDeferred<PeerFrame>()
-        waiting[correlation] = reply
-        return correlation to reply
+    fun expect(): ExpectedReply {
+        val expected = ExpectedReply(nextCorrelation.incrementAndGet(), CompletableDeferred())
+        waiting[expected.correlation] = expected.frame
+        return expected
     }
 
     /** Waits no more for the reply to [correlation]. */
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -11,6 +11,7 @@
 import cassiaspindle.relay.route.RouteChoice
 import cassiaspindle.transport.relay.answerStream
 import cassiaspindle.transport.relay.answerWhole
+import com.github.michaelbull.result.fold
 import io.ktor.server.application.ApplicationCall
 import kotlinx.io.IOException
 
@@ -49,12 +50,11 @@
 
     /** Makes one attempt; null where the request is answered, else what follows. */
     private suspend fun attemptOnce(): NextStep? {
-        val (choice, reason) = parts.choice.choose(relaying.question(tried, parts.now()))
-        return when {
-            left <= 0 -> stepOutOfTime(isStreaming = write != null)
-            choice == null -> stepWithoutPlace(reason, situation, write != null)
-            else -> attemptAt(choice, left)
-        }
+        if (left <= 0) return stepOutOfTime(isStreaming = write != null)
+        return parts.choice.choose(relaying.question(tried, parts.now())).fold(
+            success = { attemptAt(it, left) },
+            failure = { stepWithoutPlace(it, situation, write != null) },
+        )
     }
 
     private suspend fun attemptAt(choice: RouteChoice, left: Long): NextStep? {
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
@@ -4,6 +4,9 @@
 import cassiaspindle.relay.fleet.RunnerTable
 import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import java.util.concurrent.atomic.AtomicReference
 
 /** How often chains are looked for again while the fleet stays the same, in milliseconds; suspicions run out. */
@@ -56,25 +59,29 @@
     private val chains = AtomicReference<Map<String, ZoneChains>>(emptyMap())
 
     /** The choice for [question], or why there is none. */
-    fun choose(question: RouteQuestion): Pair<RouteChoice?, NoRoute> {
+    fun choose(question: RouteQuestion): Result<RouteChoice, NoRoute> {
         val engine = question.engine
-        return if (engine == null) chooseInstance(question) to NoRoute.NO_BACK_END else chooseChain(question, engine)
+        return if (engine == null) chooseInstance(question) else chooseChain(question, engine)
     }
 
-    private fun chooseInstance(question: RouteQuestion): RouteChoice? {
+    private fun chooseInstance(question: RouteQuestion): Result<RouteChoice, NoRoute> {
         val untried = usable(question).filter { it.address !in question.tried }
         val trusted = untried.filterNot { isSuspect(it, question) }.ifEmpty { untried }
         return trusted
             .map { Candidate(it, knowledge.loads.at(it.id).requests, random(Int.MAX_VALUE)) }
             .minWithOrNull(compareBy({ it.load }, { it.runner.availabilityZone != availabilityZone }, { it.lot }))
-            ?.let { RouteChoice(it.runner, chain = null) }
+            ?.let { Ok(RouteChoice(it.runner, chain = null)) }
+            ?: Err(NoRoute.NO_BACK_END)
     }
 
-    private fun chooseChain(question: RouteQuestion, engine: EngineDescription): Pair<RouteChoice?, NoRoute> {
+    private fun chooseChain(question: RouteQuestion, engine: EngineDescription): Result<RouteChoice, NoRoute> {
         val untried = chainsOf(question, engine).filter { it.first.address !in question.tried }
         val chain = untried.filter { hasRoom(it, question.tokens) }.minByOrNull { fillOf(it) + distanceOf(it) }
-        val reason = if (untried.isEmpty()) NoRoute.NO_BACK_END else NoRoute.NO_ROOM
-        return chain?.let { RouteChoice(it.first, it) } to reason
+        return when {
+            chain != null -> Ok(RouteChoice(chain.first, chain))
+            untried.isEmpty() -> Err(NoRoute.NO_BACK_END)
+            else -> Err(NoRoute.NO_ROOM)
+        }
     }
 
     private fun hasRoom(chain: LayerChain, tokens: Int): Boolean = chain.hops.all { hop ->
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/route/BackEndChoiceTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/route/BackEndChoiceTest.kt
@@ -5,6 +5,8 @@
 import cassiaspindle.relay.fleet.RunnerTable
 import cassiaspindle.relay.holding
 import cassiaspindle.relay.runner
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 
@@ -28,7 +30,7 @@
     private fun question(model: Boolean, tokens: Int = 100, at: Long = 0, tried: Set<String> = emptySet()) =
         RouteQuestion("model", engine.takeIf { model }, tokens, tried, at)
 
-    private fun chosen(question: RouteQuestion) = choice.choose(question).first?.backEnd?.id
+    private fun chosen(question: RouteQuestion) = choice.choose(question).get()?.backEnd?.id
 
     private fun announce(vararg ids: String) = ids.forEach { runners.offer(runner(it, zone = it.take(1)), 0) }
 
@@ -64,8 +66,6 @@
     fun `a request that does not fit beside those in flight has no room`() {
         runners.offer(runner("a1", "large", "a").holding(0, 40), 0)
         runners.offer(runner("a2", "large", "a").holding(40, 80), 0)
-        val (found, reason) = choice.choose(question(model = true, tokens = 10_000_000))
-        found shouldBe null
-        reason shouldBe NoRoute.NO_ROOM
+        choice.choose(question(model = true, tokens = 10_000_000)).getError() shouldBe NoRoute.NO_ROOM
     }
 }
