Compare fleets by the backend servers that are ready, and test what the core decides

Cause (found by reading): a replica forgets backend servers that left after a minute, entry VMs do not, and both counted them in the digest of the fleet; from then on every presence would have been answered with the whole fleet for good. Change: the digest counts those that are ready. The new test of it fails without the change.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -57,12 +57,8 @@
         if (stored.version <= configuration.version) return
         readConfiguration(stored.content)
             .onSuccess {
-                if (configuration.offer(
-                        RouteTable(it)
-                    )
-                ) {
-                    log.write("configuration_in_force", "version" to it.version)
-                }
+                val isNewer = configuration.offer(RouteTable(it))
+                if (isNewer) log.write("configuration_in_force", "version" to it.version)
             }
             .onFailure {
                 log.write("configuration_unreadable", "version" to stored.version, "detail" to it.detail)
--- /dev/null
+++ b/decision/control/src/test/kotlin/cassiaspindle/control/configuration/ConfigurationRegistryTest.kt
@@ -0,0 +1,29 @@
+package cassiaspindle.control.configuration
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.GroupState
+import cassiaspindle.schema.StoredConfiguration
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+
+class ConfigurationRegistryTest : AnnotationSpec() {
+    private val held = StoredConfiguration(version = 5, content = "five")
+
+    @Test
+    fun `only a higher version is stored and every one is acknowledged`() {
+        val registry = ConfigurationRegistry()
+        val sent = listOf(held, held, held.copy(content = "other"), StoredConfiguration(version = 4, content = "four"))
+        sent.forEach { registry.apply(it).code shouldBe ResultCode.OK.number }
+        registry.newest shouldBe held
+        val higher = StoredConfiguration(version = 9, content = "nine")
+        registry.apply(higher)
+        registry.newest shouldBe higher
+    }
+
+    @Test
+    fun `a snapshot brings the configuration back`() {
+        val registry = ConfigurationRegistry().apply { apply(held) }
+        val restored = ConfigurationRegistry().apply { restore(registry.capture(GroupState())) }
+        restored.newest shouldBe held
+    }
+}
--- a/decision/control/src/test/kotlin/cassiaspindle/control/group/FirstStartTest.kt
+++ b/decision/control/src/test/kotlin/cassiaspindle/control/group/FirstStartTest.kt
@@ -34,4 +34,22 @@
     fun `a replica alone founds the system at once`() {
         FirstStart(replicas[0], listOf("a")).decide().shouldBeInstanceOf<FirstStartDecision.Found>()
     }
+
+    @Test
+    fun `a named process without a disk is heard and is no founder`() {
+        val start = FirstStart(replicas[0], names)
+        start.heard(replicas[1], membership = null)
+        start.heard(Replica("c", identity = ""), membership = null) shouldBe
+            FirstStartDecision.Found(GroupMembership(replicas.take(2)))
+    }
+
+    @Test
+    fun `a replica that is not named, or may not found, waits for a founded system`() {
+        val unnamed = FirstStart(Replica("d", "d-1"), names)
+        val restarted = FirstStart(replicas[0], names, mayFound = false)
+        listOf(unnamed, restarted).forEach { start ->
+            replicas.forEach { start.heard(it, membership = null) shouldBe FirstStartDecision.Wait }
+        }
+        unnamed.heard(replicas[0], GroupMembership(replicas)) shouldBe FirstStartDecision.Join
+    }
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
@@ -53,8 +53,8 @@
             .map { it.notice.copy(state = RunnerState.SILENT) }
     }.flatten().filter { offer(it, nowMilliseconds) }
 
-    /** A digest of all that decisions depend on; the same for tables with the same content. */
-    fun digest(): Long = all().sumOf { it.settled().toString().hashCode().toLong() }
+    /** A digest of all that are ready; those that left are forgotten at different times in different processes. */
+    fun digest(): Long = all().filter { it.isUsable }.sumOf { it.settled().toString().hashCode().toLong() }
 
     private data class Entry(val notice: RunnerNotice, val heardMilliseconds: Long) {
         fun isOlder(milliseconds: Long, nowMilliseconds: Long) = nowMilliseconds - heardMilliseconds > milliseconds
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/fleet/RunnerTableTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/fleet/RunnerTableTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 
 class RunnerTableTest : AnnotationSpec() {
     private val ready = runner("r")
@@ -56,6 +57,22 @@
         table.usable() shouldBe listOf(later)
     }
 
+    @Test
+    fun `a table that has forgotten a runner that left has the digest of one that remembers it`() {
+        val remembers = RunnerTable()
+        val forgets = RunnerTable()
+        listOf(remembers, forgets).forEach { table ->
+            table.offer(ready, 0)
+            table.offer(runner("s").copy(state = RunnerState.GONE), 0)
+        }
+        forgets.offer(ready.copy(sequence = 2), 60_001)
+        forgets.findSilent(nowMilliseconds = 60_001, silenceMilliseconds = 1_000)
+        forgets.find("s") shouldBe null
+        forgets.digest() shouldBe remembers.digest()
+        remembers.offer(ready.copy(sequence = 3, state = RunnerState.DRAINING), 60_002)
+        forgets.digest() shouldNotBe remembers.digest()
+    }
+
     @Test
     fun `an announcement that only counts on changes nothing`() {
         val table = RunnerTable()
