--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -7,7 +7,6 @@
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.core.time.Clock
-import cassiaspindle.replication.GroupImage
 import cassiaspindle.schema.ControlSettings
 import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.PeerFrame
@@ -15,7 +14,6 @@
 import cassiaspindle.schema.Replica
 import cassiaspindle.storage.DataFolder
 import cassiaspindle.storage.DurableLog
-import cassiaspindle.storage.GroupReplay
 import cassiaspindle.storage.OpenedLog
 import cassiaspindle.transport.http.operator.controlRoutes
 import cassiaspindle.transport.http.server.HttpFrontEnd
@@ -158,12 +156,7 @@
     }
 
     private fun run(beginning: GroupMembership) {
-        val replay = GroupReplay(beginning)
-        opened.records.forEach(replay::add)
-        val images = (0..settings.ledgerGroups).map { group ->
-            val replayed = replay.result(group)
-            GroupImage(replayed.hardState, replayed.snapshot, replayed.entries)
-        }
+        val images = opened.images(beginning, groups = 1 + settings.ledgerGroups)
         val nodeSettings = ControlNodeSettings(
             self = self,
             names = { names },
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ReplicaHost.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ReplicaHost.kt
@@ -11,14 +11,13 @@
 import cassiaspindle.daemon.control.EffectPerformer
 import cassiaspindle.daemon.control.IdentityChoice
 import cassiaspindle.daemon.control.Outgoing
-import cassiaspindle.replication.GroupImage
+import cassiaspindle.daemon.control.images
 import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.RelaySettings
 import cassiaspindle.schema.Replica
 import cassiaspindle.storage.DataFolder
 import cassiaspindle.storage.DurableLog
-import cassiaspindle.storage.GroupReplay
 import cassiaspindle.storage.OpenedLog
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -104,9 +103,6 @@
     }
 
     private fun run(beginning: GroupMembership) {
-        val replay = GroupReplay(beginning)
-        opened.records.forEach(replay::add)
-        val replayed = replay.result(0)
         val nodeSettings = ControlNodeSettings(
             self = self,
             names = { environment.replicas().toList() },
@@ -116,8 +112,8 @@
             snapshotEveryEntries = SNAPSHOT_EVERY_ENTRIES,
             maximumVoters = MAXIMUM_VOTERS,
         )
-        val image = GroupImage(replayed.hardState, replayed.snapshot, replayed.entries)
-        performer.begin(ControlNode(nodeSettings, listOf(image), environment.random, performer.now(), writer::add))
+        val images = opened.images(beginning, groups = 1)
+        performer.begin(ControlNode(nodeSettings, images, environment.random, performer.now(), writer::add))
         writer.start()
     }
 
