--- a/command/src/main/kotlin/cassiaspindle/command/daemon/DaemonCommands.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/daemon/DaemonCommands.kt
@@ -4,7 +4,7 @@
 import cassiaspindle.codec.SettingsReader
 import cassiaspindle.command.CommandOutcomeHolder
 import cassiaspindle.command.ProgramCommand
-import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.core.concurrency.processRandom
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.time.Clock
 import cassiaspindle.daemon.control.ControlDaemon
@@ -22,7 +22,6 @@
 import org.tinylog.configuration.Configuration
 import org.tinylog.kotlin.Logger
 import java.nio.file.Path
-import java.security.SecureRandom
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
@@ -38,7 +37,7 @@
         useLogLevel(settings)
         val started = SettingsReader.read<EntrySettings>(Path.of(settings)).flatMap { read ->
             Keys.read(read.keyFiles).map { keys ->
-                EntryDaemon(read, EntryEnvironment(keys, Clock.system, secureRandom()))
+                EntryDaemon(read, EntryEnvironment(keys, Clock.system, processRandom()))
             }
         }
         outcome.take(started)
@@ -66,7 +65,7 @@
         useLogLevel(settings)
         val started = SettingsReader.read<ControlSettings>(Path.of(settings)).flatMap { read ->
             Keys.read(read.keyFiles).flatMap { keys ->
-                ControlDaemon.start(read, ControlEnvironment(keys, Clock.system, secureRandom(), ::stopAtOnce))
+                ControlDaemon.start(read, ControlEnvironment(keys, Clock.system, processRandom(), ::stopAtOnce))
             }
         }
         outcome.take(started)
@@ -95,5 +94,3 @@
 
 private fun useLogLevel(settings: String) =
     Configuration.set("level", SettingsReader.logLevel(Path.of(settings)).name.lowercase())
-
-private fun secureRandom(): RandomSource = SecureRandom().let { source -> { bound -> source.nextInt(bound) } }
--- /dev/null
+++ b/decision/replication/src/test/kotlin/cassiaspindle/replication/LockstepElectionTest.kt
@@ -0,0 +1,65 @@
+package cassiaspindle.replication
+
+import cassiaspindle.core.concurrency.RandomSource
+import cassiaspindle.core.concurrency.processRandom
+import cassiaspindle.core.concurrency.seededRandom
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.GroupState
+import cassiaspindle.schema.Replica
+import cassiaspindle.schema.ReplicationMessage
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+
+/** Three replicas that start at the same instant and whose clocks and messages keep step. */
+class LockstepElectionTest : AnnotationSpec() {
+    private val replicas = listOf("a", "b", "c").map { Replica(it, "1") }
+
+    @Test
+    fun `replicas that draw the same numbers never elect, replicas that draw their own do`() {
+        leaderWithin(20_000) { seededRandom(1) } shouldBe null
+        repeat(20) { leaderWithin(20_000) { replica -> seededRandom(it * 3L + replica) } shouldNotBe null }
+    }
+
+    @Test
+    fun `two sources of processes draw different numbers at the same instant`() {
+        val draws = List(2) { processRandom() }.map { source -> List(8) { source(1_000_000) } }
+        draws[0] shouldNotBe draws[1]
+    }
+
+    private fun leaderWithin(milliseconds: Long, source: (replica: Int) -> RandomSource): Replica? {
+        val groups = replicas.indices.associate { replicas[it] to group(replicas[it], source(it)) }
+        for (now in 0..milliseconds step TICK) {
+            var outgoing = groups.values.flatMap { perform(it, it.tick(now), now) }
+            while (outgoing.isNotEmpty()) {
+                outgoing = outgoing.flatMap { message ->
+                    val target = groups.getValue(message.to)
+                    perform(target, target.receive(message, now), now)
+                }
+            }
+            groups.entries.firstOrNull { it.value.leads }?.let { return it.key }
+        }
+        return null
+    }
+
+    /** Syncs what is to be durable at once, and gives what is sent. */
+    private fun perform(group: ReplicaGroup, output: ReplicationOutput, now: Long): List<ReplicationMessage> {
+        val work = output.durable ?: return output.messages
+        return output.messages + work.messages + perform(group, group.persisted(work.mark, now), now)
+    }
+
+    private fun group(self: Replica, random: RandomSource) = ReplicaGroup(
+        ReplicationSettings(group = 0, self = self, electionTimeoutMilliseconds = TIMEOUT),
+        GroupImage.empty(GroupMembership(replicas)),
+        StateMachine({ CommandOutcome(ResultCode.OK.number) }, { GroupState() }, {}),
+        random,
+        startedMilliseconds = 0,
+    )
+
+    private companion object {
+        const val TIMEOUT = 900L
+        const val TICK = 100L
+    }
+}
