--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
@@ -19,6 +19,7 @@
 import cassiaspindle.transport.peer.PeerSettings
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.CoroutineScope
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
 
 /** What a process works with among the control replicas. */
@@ -38,12 +39,13 @@
     private val slot = ReplicaSlot(environment.log, ::openReplica)
     private val search = ReplicaSearch(environment.clock.monotonicMilliseconds, settings.seedPeerAddresses)
     private val toldVersion = AtomicLong()
+    private val led = AtomicBoolean()
     private val hub = FleetHub(
         parts.state,
         HubSurroundings(
             now = environment.clock.monotonicMilliseconds,
             broadcast = { server.broadcast(it) },
-            configuration = { slot.replica?.performer?.node?.reads?.appliedConfiguration() },
+            configuration = { slot.replica?.performer?.node?.reads?.currentConfiguration() },
             leads = ::leads,
             heartbeatMilliseconds = settings.heartbeatMilliseconds,
         ),
@@ -129,7 +131,9 @@
     }
 
     private fun performed(node: ControlNode) {
-        val newest = node.reads.appliedConfiguration() ?: return
+        val leads = node.reads.leads()
+        if (led.getAndSet(leads) != leads) environment.log.write("replica_leads", "leads" to leads)
+        val newest = node.reads.currentConfiguration() ?: return
         if (toldVersion.getAndAccumulate(newest.version, ::maxOf) < newest.version) hub.applied(newest)
     }
 
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
@@ -21,9 +21,12 @@
     fun document(service: String): StoredDocument? =
         shards.withIndex(DOCUMENT_GROUP) { it.machine.documents.find(service) }
 
-    /** The newest configuration that this replica has applied; older than a commit it has not heard of yet. */
-    fun appliedConfiguration(): StoredConfiguration? =
-        shards.withIndex(DOCUMENT_GROUP) { it.machine.configurations.newest }
+    /**
+     * The newest configuration that this replica has applied, as new as its leader's when it was last heard; null where
+     * no leader was heard since the start, since what is in the log may be old.
+     */
+    fun currentConfiguration(): StoredConfiguration? =
+        shards.withIndex(DOCUMENT_GROUP) { shard -> shard.machine.configurations.newest.takeIf { shard.group.isCurrent } }
 
     /** Whether this replica leads group 0, as far as it knows. */
     fun leads(): Boolean = shards.withIndex(DOCUMENT_GROUP) { it.group.leads }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Following.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Following.kt
@@ -10,8 +10,15 @@
     private val leadership: Leadership,
     private val applier: CommitApplier,
 ) {
+    /** The commit index that a leader told last, or null before the first. */
+    private var heardCommit: Long? = null
+
+    /** Whether everything is applied here that a leader said to be committed when it was last heard. */
+    val holdsHeardCommit: Boolean get() = heardCommit?.let { it <= state.commitIndex } ?: false
+
     fun append(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
         if (!followLeader(message, nowMilliseconds, output)) return
+        heardCommit = message.commitIndex
         if (!agreesAt(message.lastIndex, message.lastTerm)) {
             reply(message, granted = false, lastIndex = hint(message.lastIndex), output)
             return
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
@@ -36,22 +36,29 @@
         change(membership.copy(learners = learners), nowMilliseconds, output)
     }
 
-    /** Takes the next step on the way of a learner to a vote. */
+    /** Takes the next step on the way of a learner to a vote, and of a lost voter out of the group. */
     fun advance(nowMilliseconds: Long, output: OutputCollector) {
-        val ready = state.membership.learners.firstOrNull(leadership.progress::isCaughtUp)
-        if (mayChange && ready != null) {
-            nextMembership(ready, nowMilliseconds)?.let { change(it, nowMilliseconds, output) }
-        }
+        if (!mayChange) return
+        val ready = state.membership.learners.filter(leadership.progress::isCaughtUp)
+        nextMembership(ready, nowMilliseconds)?.let { change(it, nowMilliseconds, output) }
     }
 
-    /** The voter that [ready] stands in for goes first; a replica without one to replace gets a vote up to a limit. */
-    private fun nextMembership(ready: Replica, nowMilliseconds: Long): GroupMembership? {
+    /**
+     * The voter that a replica of [ready] stands in for goes first, and then that one gets its vote.
+     *
+     * An even group bears no more losses than an odd one that is smaller by one. So it gives up a lost voter without a
+     * replacement, and an odd group takes in two new voters or none.
+     */
+    private fun nextMembership(ready: List<Replica>, nowMilliseconds: Long): GroupMembership? {
         val voters = state.membership.voters
-        val replaced = voters.firstOrNull { it.name == ready.name } ?: lostVoter(nowMilliseconds)
+        val isEven = voters.size % 2 == 0
+        val renewed = voters.firstOrNull { voter -> ready.any { it.name == voter.name } }
+        val lost = lostVoter(nowMilliseconds).takeIf { ready.isNotEmpty() || isEven }
+        val removed = renewed ?: lost
+        val mayAdd = voters.size < state.settings.maximumVoters && ready.size >= if (isEven) 1 else 2
         return when {
-            replaced != null -> state.membership.copy(voters = voters - replaced)
-            voters.size < state.settings.maximumVoters ->
-                GroupMembership(voters + ready, state.membership.learners - ready)
+            removed != null -> state.membership.copy(voters = voters - removed)
+            mayAdd -> GroupMembership(voters + ready.first(), state.membership.learners - ready.first())
             else -> null
         }
     }
@@ -60,8 +67,7 @@
     private fun lostVoter(nowMilliseconds: Long): Replica? {
         val since = nowMilliseconds - state.settings.lostAfterMilliseconds
         val silent = state.membership.voters.filter { leadership.progress.isSilent(it, since) }
-        val leadsSince = leadership.begunMilliseconds
-        val removable = leadsSince < since && state.membership.voters.size > SMALLEST_GROUP - 1
+        val removable = leadership.begunMilliseconds < since && state.membership.voters.size >= SMALLEST_GROUP
         return silent.firstOrNull().takeIf { removable }
     }
 
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
@@ -34,6 +34,13 @@
     /** Whether this replica leads. */
     val leads: Boolean get() = state.role == Role.LEADER
 
+    /**
+     * Whether this replica has applied what the leader of the current term had committed when it was last heard.
+     *
+     * A replica that starts holds an old state until a leader tells it what is committed.
+     */
+    val isCurrent: Boolean get() = (leads || following.holdsHeardCommit) && leadership.hasCommittedInTerm()
+
     /** Takes a message of a peer; one for another identity of this replica is dropped. */
     fun receive(message: ReplicationMessage, nowMilliseconds: Long): ReplicationOutput = collect { output ->
         val addressed = message.to == state.self || message.kind == ReplicationKind.JOIN
@@ -117,12 +124,18 @@
             ReplicationKind.SNAPSHOT -> following.snapshot(message, nowMilliseconds, output)
             ReplicationKind.APPEND_REPLY -> leadership.answered(message, nowMilliseconds, output)
             ReplicationKind.JOIN -> replacement.takeIn(message.from, nowMilliseconds, output)
-            ReplicationKind.PRE_VOTE, ReplicationKind.PRE_VOTE_REPLY,
-            ReplicationKind.VOTE, ReplicationKind.VOTE_REPLY,
+            ReplicationKind.PRE_VOTE -> askedForVote(message, nowMilliseconds, output)
+            ReplicationKind.PRE_VOTE_REPLY, ReplicationKind.VOTE, ReplicationKind.VOTE_REPLY,
             -> election.answer(message, nowMilliseconds, output)
         }
     }
 
+    /** A voter that was given up for lost does not know it; the leader that hears it again takes it in as a learner. */
+    private fun askedForVote(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
+        election.answer(message, nowMilliseconds, output)
+        if (message.from !in state.membership.voters) replacement.takeIn(message.from, nowMilliseconds, output)
+    }
+
     private fun collect(decide: (OutputCollector) -> Unit): ReplicationOutput {
         val output = OutputCollector(state)
         decide(output)
