--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -9,6 +9,7 @@
 import cassiaspindle.transport.relay.RunnerConnections
 import cassiaspindle.transport.relay.WholeRequest
 import io.ktor.http.cio.ParserException
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 
@@ -27,6 +28,8 @@
     val address: String,
     /** How long a plain service may stay silent, in milliseconds. */
     val patienceMilliseconds: Long,
+    /** Ends when the chain that the request goes through stalls; null at a plain service. */
+    val stall: Deferred<Unit>?,
 ) {
     override fun equals(other: Any?): Boolean = this === other
 
@@ -92,6 +95,8 @@
             connection.send(request)
             receive(connection, sending)
         } ?: Attempt.Failed(AttemptFailure.Broken, reason = "no_answer_in_time", faultAt = null)
+    } catch (problem: ChainStalledException) {
+        Attempt.Failed(AttemptFailure.Broken, reason = problem.message.orEmpty(), faultAt = null)
     } catch (problem: StalledException) {
         Attempt.Failed(AttemptFailure.Broken, reason = "stalled", problem.faultAt, isStalled = true)
     } catch (problem: IOException) {
@@ -118,9 +123,9 @@
     private fun waitFor(sending: Sending): PatientWait {
         val end = now() + sending.call.leftMilliseconds
         return if (sending.call.chain == null) {
-            PatientWait(sending.patienceMilliseconds, { end - now() }, stalledAt = { null })
+            PatientWait(sending.patienceMilliseconds, { end - now() }, sending.stall, stalledAt = { null })
         } else {
-            PatientWait(stallMilliseconds + SILENCE_MARGIN_MILLISECONDS, { end - now() }) {
+            PatientWait(stallMilliseconds + SILENCE_MARGIN_MILLISECONDS, { end - now() }, sending.stall) {
                 stalls.stalledAt(sending.address, sending.request.id)
             }
         }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestLines.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestLines.kt
@@ -31,6 +31,15 @@
         "after_event" to lastEventId,
     )
 
+    /** The request waited [milliseconds] for a place, and then [found] one or not. */
+    fun waited(milliseconds: Long, found: Boolean) = log.write(
+        "place_awaited",
+        "request" to request.id,
+        "service" to admitted.service,
+        "waited_ms" to milliseconds,
+        "found" to found,
+    )
+
     /** An attempt failed at [choice], and [step] follows. */
     fun failed(attempt: Attempt.Failed, choice: RouteChoice, situation: AttemptSituation, step: NextStep) = log.write(
         "attempt_failed",
@@ -38,7 +47,7 @@
         "runner" to choice.backEnd.id,
         "reason" to attempt.reason,
         "fault_at" to attempt.faultAt,
-        "attempts" to situation.attempts,
+        "attempts" to situation.sends,
         "may_have_run" to situation.mayHaveRun,
         "left_ms" to situation.leftMilliseconds,
         "next" to step,
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
@@ -25,8 +25,9 @@
      * The newest configuration that this replica has applied, as new as its leader's when it was last heard; null where
      * no leader was heard since the start, since what is in the log may be old.
      */
-    fun currentConfiguration(): StoredConfiguration? =
-        shards.withIndex(DOCUMENT_GROUP) { shard -> shard.machine.configurations.newest.takeIf { shard.group.isCurrent } }
+    fun currentConfiguration(): StoredConfiguration? = shards.withIndex(DOCUMENT_GROUP) { shard ->
+        shard.machine.configurations.newest.takeIf { shard.group.isCurrent }
+    }
 
     /** Whether this replica leads group 0, as far as it knows. */
     fun leads(): Boolean = shards.withIndex(DOCUMENT_GROUP) { it.group.leads }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Replacement.kt
@@ -36,6 +36,11 @@
         change(membership.copy(learners = learners), nowMilliseconds, output)
     }
 
+    /** Takes [asking], which asks for votes, in as a learner: a voter that was given up for lost does not know it. */
+    fun takeBack(asking: Replica, nowMilliseconds: Long, output: OutputCollector) {
+        if (asking !in state.membership.voters) takeIn(asking, nowMilliseconds, output)
+    }
+
     /** Takes the next step on the way of a learner to a vote, and of a lost voter out of the group. */
     fun advance(nowMilliseconds: Long, output: OutputCollector) {
         if (!mayChange) return
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaGroup.kt
@@ -124,18 +124,15 @@
             ReplicationKind.SNAPSHOT -> following.snapshot(message, nowMilliseconds, output)
             ReplicationKind.APPEND_REPLY -> leadership.answered(message, nowMilliseconds, output)
             ReplicationKind.JOIN -> replacement.takeIn(message.from, nowMilliseconds, output)
-            ReplicationKind.PRE_VOTE -> askedForVote(message, nowMilliseconds, output)
+            ReplicationKind.PRE_VOTE -> {
+                election.answer(message, nowMilliseconds, output)
+                replacement.takeBack(message.from, nowMilliseconds, output)
+            }
             ReplicationKind.PRE_VOTE_REPLY, ReplicationKind.VOTE, ReplicationKind.VOTE_REPLY,
             -> election.answer(message, nowMilliseconds, output)
         }
     }
 
-    /** A voter that was given up for lost does not know it; the leader that hears it again takes it in as a learner. */
-    private fun askedForVote(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
-        election.answer(message, nowMilliseconds, output)
-        if (message.from !in state.membership.voters) replacement.takeIn(message.from, nowMilliseconds, output)
-    }
-
     private fun collect(decide: (OutputCollector) -> Unit): ReplicationOutput {
         val output = OutputCollector(state)
         decide(output)
