--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -89,14 +89,7 @@
             toEntries = { frame -> server.broadcast(frame) },
         ),
     )
-    private val writer = DurableWriter(
-        opened.log,
-        DurableHandlers(
-            onDurable = performer::durable,
-            images = { performer.node?.images().orEmpty() },
-            onFailure = environment.onFatal,
-        ),
-    )
+    private val writer = performer.newWriter(opened.log, environment.onFatal)
     private val server: PeerServer = PeerServer.start(
         HostAndPort.parse(own.peerAddress),
         peerSettings,
--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/DurableWriter.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/DurableWriter.kt
@@ -96,3 +96,13 @@
         data object Stop : Item
     }
 }
+
+/** A writer of [log] that reports what is synced to this performer and rewrites the log from its node. */
+fun EffectPerformer.newWriter(log: DurableLog, onFailure: (Failure) -> Unit) = DurableWriter(
+    log,
+    DurableHandlers(
+        onDurable = ::durable,
+        images = { node?.images().orEmpty() },
+        onFailure = onFailure,
+    ),
+)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ReplicaHost.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ReplicaHost.kt
@@ -6,12 +6,11 @@
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.core.time.Clock
-import cassiaspindle.daemon.control.DurableHandlers
-import cassiaspindle.daemon.control.DurableWriter
 import cassiaspindle.daemon.control.EffectPerformer
 import cassiaspindle.daemon.control.IdentityChoice
 import cassiaspindle.daemon.control.Outgoing
 import cassiaspindle.daemon.control.images
+import cassiaspindle.daemon.control.newWriter
 import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.RelaySettings
@@ -66,14 +65,7 @@
     /** Calls the decisions. */
     val performer =
         EffectPerformer(environment.clock, Outgoing(environment.send, toEntries = {}), environment.onPerformed)
-    private val writer = DurableWriter(
-        opened.log,
-        DurableHandlers(
-            onDurable = performer::durable,
-            images = { performer.node?.images().orEmpty() },
-            onFailure = environment.onFatal,
-        ),
-    )
+    private val writer = performer.newWriter(opened.log, environment.onFatal)
 
     /** Begins where the log left off, or once the beginning is settled. */
     fun start() {
