Tell when an executor stands still, and what became of each change and each replica's standing

- executor_late / executor_back / thread_stack: a thread of its own hands each executor an empty task twice a second
- control_call_cancelled, control_call_refused: a call that ends without answer
- configuration_put, configuration_read: tries, replica asked last, what it said where it decided nothing, time taken
- replica_standing: role, term, leader, group, where they change

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
@@ -19,7 +19,6 @@
 import cassiaspindle.transport.peer.PeerSettings
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.CoroutineScope
-import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
 
 /** What a process works with among the control replicas. */
@@ -39,7 +38,7 @@
     private val slot = ReplicaSlot(environment.log, ::openReplica)
     private val search = ReplicaSearch(environment.clock.monotonicMilliseconds, settings.seedPeerAddresses)
     private val toldVersion = AtomicLong()
-    private val led = AtomicBoolean()
+    private val standing = StandingLog(environment.log)
     private val hub = FleetHub(
         parts.state,
         HubSurroundings(
@@ -131,8 +130,7 @@
     }
 
     private fun performed(node: ControlNode) {
-        val leads = node.reads.leads()
-        if (led.getAndSet(leads) != leads) environment.log.write("replica_leads", "leads" to leads)
+        standing.note(node.documentGroup())
         val newest = node.reads.currentConfiguration() ?: return
         if (toldVersion.getAndAccumulate(newest.version, ::maxOf) < newest.version) hub.applied(newest)
     }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -9,6 +9,8 @@
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.LinkHandlers
 import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.daemon.relay.log.LivenessWatch
+import cassiaspindle.daemon.relay.log.WatchedExecutor
 import cassiaspindle.daemon.relay.protocol.RelayProtocol
 import cassiaspindle.daemon.relay.request.AttemptRunner
 import cassiaspindle.daemon.relay.request.DeskParts
@@ -41,6 +43,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
@@ -86,7 +89,8 @@
         peerSettings,
         selector,
         scope,
-        LinkHandlers(state::take) { peer, frame -> core.heard(peer, frame) }
+        LinkHandlers(state::take) { peer, frame -> core.heard(peer, frame) },
+        clock.monotonicMilliseconds,
     )
     private val core: CoreMember = CoreMember(CoreParts(settings, environment, peerSettings, state, link, scope))
     private val standing = EntryStanding(settings, clock, state)
@@ -107,6 +111,7 @@
     private val controlDesk = ControlDesk(protocol.operators, link, state, log)
     private val discoveryDesk = DiscoveryDesk(protocol.callers, state, settings.discoveryLifetimeMilliseconds)
     private val server: RelayServer by lazy { RelayServer.start(handlers()) }
+    private val watch = LivenessWatch(watchedExecutors(), clock.monotonicMilliseconds, log)
 
     /** Takes changed settings: other seeds; what a process is bound to does not change while it runs. */
     fun reload(changed: RelaySettings) {
@@ -121,6 +126,7 @@
         log.write("stopping", "in_flight" to desk.inFlight)
         link.tell(standing.presence())
         DrainWait(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds, clock).await { desk.inFlight }
+        watch.close()
         timer.shutdownNow()
         server.close()
         core.close()
@@ -135,12 +141,15 @@
         Gauge.builder("cassiaspindle.runner.connections.opened", connections) { it.opened.toDouble() }
             .register(metrics.registry)
         Gauge.builder("cassiaspindle.log.dropped", log) { it.dropped.toDouble() }.register(metrics.registry)
+        Gauge.builder("cassiaspindle.executors.longest.wait.ms", watch) { it.longestMilliseconds.toDouble() }
+            .register(metrics.registry)
         core.start()
         server
         every(DISCOVER_MILLISECONDS, core::discover)
         every(PRESENCE_MILLISECONDS) { link.tell(standing.presence()) }
         every(PLACEMENT_MILLISECONDS, placement::tick)
         every(HUB_MILLISECONDS, core::tickHub)
+        watch.start()
         log.write(
             "started",
             "name" to settings.name,
@@ -159,6 +168,17 @@
         timer.scheduleWithFixedDelay(guarded, 0, milliseconds, TimeUnit.MILLISECONDS)
     }
 
+    private fun watchedExecutors() = listOf(
+        WatchedExecutor("coroutines") { task -> scope.launch { task() } },
+        WatchedExecutor("coroutine-delays") { task ->
+            scope.launch {
+                delay(1)
+                task()
+            }
+        },
+        WatchedExecutor("relay-timer") { task -> timer.execute(task) },
+    )
+
     private fun relayDesk(): RelayDesk {
         val suspicions = SuspicionTable()
         val loads = LoadTable()
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/StandingLog.kt
@@ -0,0 +1,35 @@
+package cassiaspindle.daemon.relay
+
+import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.GroupStatus
+import cassiaspindle.schema.Replica
+import java.util.concurrent.atomic.AtomicReference
+
+/** Writes a line whenever a control replica changes its role, its term, its leader or its group. */
+internal class StandingLog(private val log: EventLog) {
+    private val told = AtomicReference<Standing?>(null)
+
+    /** Takes the state of the group as this replica sees it. */
+    fun note(status: GroupStatus) {
+        val standing = Standing(status.role, status.term, status.leader, status.membership)
+        if (told.getAndSet(standing) == standing) return
+        log.write(
+            "replica_standing",
+            "role" to standing.role,
+            "term" to standing.term,
+            "leader" to standing.leader,
+            "voters" to standing.membership.voters.map(Replica::name),
+            "learners" to standing.membership.learners.map(Replica::name),
+            "commit" to status.commitIndex,
+            "last" to status.lastIndex,
+        )
+    }
+
+    private data class Standing(
+        val role: String,
+        val term: Long,
+        val leader: String?,
+        val membership: GroupMembership,
+    )
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ControlDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ControlDesk.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.daemon.relay.fleet.FleetLink
 import cassiaspindle.daemon.relay.fleet.FleetState
+import cassiaspindle.daemon.relay.fleet.Submission
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.daemon.relay.protocol.ControlCall
 import cassiaspindle.daemon.relay.protocol.OperatorProtocol
@@ -17,6 +18,7 @@
 import cassiaspindle.schema.RunnerState
 import cassiaspindle.schema.StoredConfiguration
 import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.RequestHead
 import cassiaspindle.transport.relay.ResponseHead
 import cassiaspindle.transport.relay.answerWhole
 import cassiaspindle.transport.relay.readBody
@@ -25,6 +27,7 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.ktor.server.application.ApplicationCall
+import kotlinx.coroutines.CancellationException
 
 private const val MAXIMUM_BODY_BYTES = 8 * 1024 * 1024
 
@@ -47,8 +50,18 @@
     /** Serves one call. */
     suspend fun serve(call: ApplicationCall) {
         val head = call.requestHead()
+        try {
+            take(call, head)
+        } catch (gone: CancellationException) {
+            log.write("control_call_cancelled", "method" to head.method, "target" to head.target)
+            throw gone
+        }
+    }
+
+    private suspend fun take(call: ApplicationCall, head: RequestHead) {
         val body = call.readBody(MAXIMUM_BODY_BYTES)
         if (body == null) {
+            log.write("control_call_refused", "target" to head.target, "code" to ResultCode.TOO_LARGE.number)
             call.answer(ResultCode.TOO_LARGE)
             return
         }
@@ -74,16 +87,17 @@
     private suspend fun store(call: ApplicationCall, configuration: RelayConfiguration, text: String) {
         val stored = StoredConfiguration(configuration.version, text)
         val command = ControlCommand(ControlCommandKind.APPLY_CONFIGURATION, configuration = stored)
-        val outcome = link.submit(command, DECISION_MILLISECONDS)
-        log.write("configuration_put", "version" to stored.version, "bytes" to text.length, "code" to outcome?.code)
-        if (outcome?.code == ResultCode.OK.number) state.take(stored)
-        call.answer(if (outcome?.code == ResultCode.OK.number) ResultCode.OK else ResultCode.CONTROL_UNREACHABLE)
+        val submission = link.submit(command, DECISION_MILLISECONDS)
+        val isStored = submission.outcome?.code == ResultCode.OK.number
+        log.write("configuration_put", "version" to stored.version, "bytes" to text.length, *submission.fields())
+        if (isStored) state.take(stored)
+        call.answer(if (isStored) ResultCode.OK else ResultCode.CONTROL_UNREACHABLE)
     }
 
     private suspend fun readConfiguration(call: ApplicationCall) {
-        val outcome = link.submit(ControlCommand(ControlCommandKind.READ_CONFIGURATION), DECISION_MILLISECONDS)
-        val newest = outcome?.configuration
-        log.write("configuration_read", "version" to newest?.version, "code" to outcome?.code)
+        val submission = link.submit(ControlCommand(ControlCommandKind.READ_CONFIGURATION), DECISION_MILLISECONDS)
+        val newest = submission.outcome?.configuration
+        log.write("configuration_read", "version" to newest?.version, *submission.fields())
         if (newest == null) call.answer(ResultCode.CONTROL_UNREACHABLE) else call.answerJson(newest.content)
     }
 
@@ -136,6 +150,14 @@
         answerWhole(ResponseHead(status.value, status.description, JSON), content.encodeToByteArray())
     }
 
+    private fun Submission.fields() = arrayOf(
+        "code" to outcome?.code,
+        "tries" to tries,
+        "asked" to asked,
+        "undecided_code" to undecidedCode,
+        "took_ms" to tookMilliseconds,
+    )
+
     private companion object {
         val JSON = listOf(Header("Content-Type", "application/json"))
     }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetLink.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetLink.kt
@@ -30,12 +30,26 @@
     val onPresence: (peer: String, frame: PeerFrame) -> Unit,
 )
 
+/** What became of a command that was submitted to the control replicas. */
+data class Submission(
+    /** What was decided, or null where nothing was in time. */
+    val outcome: CommandOutcome? = null,
+    /** How often it was sent, or found nobody to send it to. */
+    val tries: Int = 0,
+    /** Peer address of the replica that was asked last. */
+    val asked: String? = null,
+    /** What that replica said where it decided nothing; null where it said nothing. */
+    val undecidedCode: Int? = null,
+    val tookMilliseconds: Long = 0,
+)
+
 /** Connections of this process to the control replicas, and to the seeds while no replica is known. */
 class FleetLink(
     private val settings: PeerSettings,
     private val selector: SelectorManager,
     private val scope: CoroutineScope,
     private val handlers: LinkHandlers,
+    private val now: () -> Long,
 ) {
     private val links = ConcurrentHashMap<String, Link>()
     private val replies = ReplyDesk()
@@ -84,27 +98,35 @@
         return held.get()
     }
 
-    /** Has [command] decided by the leader; tries again until [timeoutMilliseconds] are over, then gives null. */
-    suspend fun submit(command: ControlCommand, timeoutMilliseconds: Long): CommandOutcome? =
+    /** Has [command] decided by the leader; tries again until [timeoutMilliseconds] are over. */
+    suspend fun submit(command: ControlCommand, timeoutMilliseconds: Long): Submission {
+        val begun = now()
+        var submission = Submission()
         withTimeoutOrNull(timeoutMilliseconds) {
-            var outcome = ask(command)
-            while (outcome == null) {
-                delay(RETRY_MILLISECONDS)
-                outcome = ask(command)
+            while (submission.outcome == null) {
+                if (submission.tries > 0) delay(RETRY_MILLISECONDS)
+                val target = leader.get() ?: inTurn()
+                submission = submission.copy(tries = submission.tries + 1, asked = target)
+                val outcome = target?.let { ask(it, command) }
+                val isUndecided = outcome == null || outcome.code in UNDECIDED
+                submission = submission.copy(
+                    outcome = outcome.takeUnless { isUndecided },
+                    undecidedCode = outcome?.code.takeIf { isUndecided },
+                )
             }
-            outcome
         }
+        return submission.copy(tookMilliseconds = now() - begun)
+    }
 
-    private suspend fun ask(command: ControlCommand): CommandOutcome? {
-        val target = leader.get() ?: inTurn() ?: return null
+    private suspend fun ask(target: String, command: ControlCommand): CommandOutcome? {
         val (correlation, reply) = replies.expect()
         val sent = send(target, PeerFrame(PeerFrameKind.COMMAND, correlation = correlation, command = command))
         val answer = if (sent) withTimeoutOrNull(REPLY_MILLISECONDS) { reply.await() } else null
         replies.forget(correlation)
         val outcome = answer?.outcome
-        val undecided = outcome == null || outcome.code in UNDECIDED
-        leader.set(if (undecided) answer?.leader?.takeIf { it != target } else target)
-        return outcome?.takeUnless { undecided }
+        val isUndecided = outcome == null || outcome.code in UNDECIDED
+        leader.set(if (isUndecided) answer?.leader?.takeIf { it != target } else target)
+        return outcome
     }
 
     private fun inTurn(): String? {
--- /dev/null
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/log/LivenessWatchTest.kt
@@ -0,0 +1,37 @@
+package cassiaspindle.daemon.relay.log
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import java.io.ByteArrayOutputStream
+import java.io.PrintStream
+
+class LivenessWatchTest : AnnotationSpec() {
+    @Test
+    fun `an executor that stands still is told once, with where the threads stand, and told again when it is back`() {
+        val output = ByteArrayOutputStream()
+        val log = EventLog(PrintStream(output)) { 0 }
+        var now = 0L
+        val waiting = mutableListOf<() -> Unit>()
+        val executors = listOf(
+            WatchedExecutor("stuck") { waiting += it },
+            WatchedExecutor("sound") { task -> task() },
+        )
+        val stack = arrayOf(StackTraceElement("Example", "hold", "Example.kt", 7))
+        val watch = LivenessWatch(executors, { now }, log) { mapOf(Thread.currentThread() to stack) }
+        listOf(0L, 500L, 1_000L).forEach { time ->
+            now = time
+            watch.check()
+        }
+        waiting.single().invoke()
+        log.close(1_000)
+        val text = output.toString()
+        text.split("event=executor_late").size shouldBe 2
+        text shouldContain "event=executor_late executor=stuck waited_ms=500"
+        text shouldContain "frames=Example.hold:7"
+        text shouldContain "event=executor_back executor=stuck waited_ms=1000"
+        text shouldNotContain "executor=sound"
+        watch.longestMilliseconds shouldBe 1_000
+    }
+}
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlNode.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlNode.kt
@@ -11,6 +11,7 @@
 import cassiaspindle.schema.ControlCommandKind
 import cassiaspindle.schema.ControlStatus
 import cassiaspindle.schema.GroupMembership
+import cassiaspindle.schema.GroupStatus
 import cassiaspindle.schema.OrderName
 import cassiaspindle.schema.Replica
 import cassiaspindle.schema.ReplicationMessage
@@ -113,9 +114,12 @@
         entryStatuses = sessions.status(nowMilliseconds),
     )
 
+    /** The state of group 0. */
+    fun documentGroup(): GroupStatus = shards.withIndex(DOCUMENT_GROUP) { it.group.status() }
+
     /** The membership of group 0 as far as this replica knows, or null where it knows of no voter. */
     fun membership(): GroupMembership? =
-        shards.withIndex(DOCUMENT_GROUP) { it.group.status().membership }.takeIf { it.voters.isNotEmpty() }
+        documentGroup().membership.takeIf { it.voters.isNotEmpty() }
 
     /** All that must be in the data folder, one image a group. */
     fun images(): List<GroupImage> = shards.mapEach { it.group.image }
