--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -15,7 +15,8 @@
         mapOf(
             HostAndPort("127.0.0.1", port) to { call ->
                 if (call.requestHead().target == "/slow") delay(100)
-                call.answerWhole(head, "fine".encodeToByteArray())
+                val body = call.readBody(MAXIMUM_BODY_BYTES)
+                call.answerWhole(head, "${body?.size}".encodeToByteArray())
             },
         ),
     )
@@ -33,6 +34,25 @@
         ask("/slow") shouldBe "HTTP/1.1 200 OK"
     }
 
+    @Test
+    fun `a call that is the last on its connection is answered and not taken for one whose caller left`() {
+        val answers = List(CALLS) { sendLast("PUT /slow HTTP/1.1\r\nHost: h\r\nConnection: close\r\n", BODY_BYTES) }
+        answers.groupingBy { it }.eachCount() shouldBe mapOf("HTTP/1.1 200 OK" to CALLS)
+    }
+
+    private fun sendLast(head: String, bytes: Int): String? = Socket("127.0.0.1", port).use { socket ->
+        socket.soTimeout = 5_000
+        socket.getOutputStream().write("${head}Content-Length: $bytes\r\n\r\n".toByteArray())
+        socket.getOutputStream().write(ByteArray(bytes))
+        socket.getInputStream().bufferedReader().readLine()
+    }
+
+    private companion object {
+        const val MAXIMUM_BODY_BYTES = 1024 * 1024
+        const val BODY_BYTES = 150_000
+        const val CALLS = 60
+    }
+
     private fun resetConnection(kind: Int) = Socket("127.0.0.1", port).use { socket ->
         socket.setSoLinger(true, 0)
         when (kind) {
