Answer calls that are the last on their connection: judge by the bytes whether the caller left

Cause: the HTTP server's hook for callers that leave fires when its loop over the requests of a connection ends. It also ends after a request that says Connection: close, so such a call is cancelled while its caller waits, where its handler began first: a race that a body of some size makes likely. A signal of the end of input was taken for a signal that nobody waits.

Why it works: the connection is read all the time by a coroutine of its own; the end of these bytes is the only sign that cancels, whatever the parser awaits.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -32,12 +32,11 @@
 import cassiaspindle.transport.peer.PeerSettings
 import cassiaspindle.transport.relay.CallHandler
 import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.RelayCall
 import cassiaspindle.transport.relay.RelayServer
 import cassiaspindle.transport.relay.ResponseHead
 import cassiaspindle.transport.relay.RunnerConnections
-import cassiaspindle.transport.relay.answerWhole
 import io.ktor.network.selector.SelectorManager
-import io.ktor.server.application.ApplicationCall
 import io.micrometer.core.instrument.Gauge
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -110,7 +109,7 @@
     private val desk = relayDesk()
     private val controlDesk = ControlDesk(protocol.operators, link, state, log)
     private val discoveryDesk = DiscoveryDesk(protocol.callers, state, settings.discoveryLifetimeMilliseconds)
-    private val server: RelayServer by lazy { RelayServer.start(handlers()) }
+    private val server: RelayServer by lazy { RelayServer.start(handlers(), selector, scope) }
     private val watch = LivenessWatch(watchedExecutors(), clock.monotonicMilliseconds, log)
 
     /** Takes changed settings: other seeds; what a process is bound to does not change while it runs. */
@@ -223,12 +222,12 @@
         settings.metricsAddress?.let { HostAndPort.parse(it) to ::answerMetrics },
     ).toMap()
 
-    private suspend fun answerReady(call: ApplicationCall) {
+    private suspend fun answerReady(call: RelayCall) {
         val status = if (standing.isReady) STATUS_OK else STATUS_UNAVAILABLE
         call.answerWhole(ResponseHead(status, reason = "", emptyList()), ByteArray(0))
     }
 
-    private suspend fun answerMetrics(call: ApplicationCall) {
+    private suspend fun answerMetrics(call: RelayCall) {
         val text = listOf(Header("Content-Type", "text/plain"))
         call.answerWhole(ResponseHead(STATUS_OK, reason = "OK", text), metrics.registry.scrape().encodeToByteArray())
     }
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ConfigurationDesk.kt
@@ -0,0 +1,67 @@
+package cassiaspindle.daemon.relay.control
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.daemon.relay.fleet.FleetLink
+import cassiaspindle.daemon.relay.fleet.FleetState
+import cassiaspindle.daemon.relay.fleet.Submission
+import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.daemon.relay.protocol.OperatorProtocol
+import cassiaspindle.relay.configuration.checkConfiguration
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.ControlCommandKind
+import cassiaspindle.schema.RelayConfiguration
+import cassiaspindle.schema.StoredConfiguration
+import cassiaspindle.transport.relay.RelayCall
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+
+/** Time within which a change or a read is decided; callers wait a second, in milliseconds. */
+private const val DECISION_MILLISECONDS = 900L
+
+/** Has operators' configurations stored and read by the control replicas. */
+internal class ConfigurationDesk(
+    private val protocol: OperatorProtocol,
+    private val link: FleetLink,
+    private val state: FleetState,
+    private val log: EventLog,
+) {
+    /** Has the configuration in [body] stored where it is valid. */
+    suspend fun put(call: RelayCall, body: ByteArray) {
+        val text = body.decodeToString()
+        protocol.readConfiguration(text).flatMap(::checkConfiguration)
+            .onSuccess { store(call, it, text) }
+            .onFailure { failure ->
+                log.write("configuration_refused", "code" to failure.code.number, "detail" to failure.detail)
+                call.answerEmpty(ResultCode.CONFIGURATION_INVALID)
+            }
+    }
+
+    /** Answers with the newest configuration. */
+    suspend fun read(call: RelayCall) {
+        val submission = link.submit(ControlCommand(ControlCommandKind.READ_CONFIGURATION), DECISION_MILLISECONDS)
+        val newest = submission.outcome?.configuration
+        tell("configuration_read", newest?.version, submission)
+        if (newest == null) call.answerEmpty(ResultCode.CONTROL_UNREACHABLE) else call.answerJson(newest.content)
+    }
+
+    private suspend fun store(call: RelayCall, configuration: RelayConfiguration, text: String) {
+        val stored = StoredConfiguration(configuration.version, text)
+        val command = ControlCommand(ControlCommandKind.APPLY_CONFIGURATION, configuration = stored)
+        val submission = link.submit(command, DECISION_MILLISECONDS)
+        val isStored = submission.outcome?.code == ResultCode.OK.number
+        tell("configuration_put", stored.version, submission)
+        if (isStored) state.take(stored)
+        call.answerEmpty(if (isStored) ResultCode.OK else ResultCode.CONTROL_UNREACHABLE)
+    }
+
+    private fun tell(event: String, version: Long?, submission: Submission) = log.write(
+        event,
+        "version" to version,
+        "code" to submission.outcome?.code,
+        "tries" to submission.tries,
+        "asked" to submission.asked,
+        "undecided_code" to submission.undecidedCode,
+        "took_ms" to submission.tookMilliseconds,
+    )
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/log/LivenessWatch.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/log/LivenessWatch.kt
@@ -63,10 +63,12 @@
             "thread_stack",
             "thread" to thread.name,
             "state" to thread.state,
-            "frames" to frames.take(TOLD_FRAMES).joinToString(";") { "${it.className}.${it.methodName}:${it.lineNumber}" },
+            "frames" to frames.take(TOLD_FRAMES).joinToString(";", transform = ::textOf),
         )
     }
 
+    private fun textOf(frame: StackTraceElement) = "${frame.className}.${frame.methodName}:${frame.lineNumber}"
+
     /** At most one task of an executor is under way. */
     private inner class Probe(private val executor: WatchedExecutor) {
         private val begun = AtomicReference<Long?>(null)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/DiscoveryDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/DiscoveryDesk.kt
@@ -4,12 +4,10 @@
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.protocol.CallerProtocol
 import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.RelayCall
 import cassiaspindle.transport.relay.ResponseHead
-import cassiaspindle.transport.relay.answerWhole
-import cassiaspindle.transport.relay.requestHead
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
-import io.ktor.server.application.ApplicationCall
 
 /** Tells callers which entry VMs to use. */
 internal class DiscoveryDesk(
@@ -18,13 +16,13 @@
     private val lifetimeMilliseconds: Long,
 ) {
     /** Serves one call. */
-    suspend fun serve(call: ApplicationCall) {
-        protocol.readDiscovery(call.requestHead())
+    suspend fun serve(call: RelayCall) {
+        protocol.readDiscovery(call.head)
             .onSuccess { zone -> answer(call, zone) }
             .onFailure { call.answer(Refusal(it.code, id = null), protocol, emptyList()) }
     }
 
-    private suspend fun answer(call: ApplicationCall, zone: String?) {
+    private suspend fun answer(call: RelayCall, zone: String?) {
         val addresses = state.entries.addresses(zone)
         if (addresses.isEmpty()) {
             call.answer(Refusal(ResultCode.ENTRY_CUT_OFF, id = null), protocol, emptyList())
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/Refusal.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/Refusal.kt
@@ -3,10 +3,9 @@
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.daemon.relay.protocol.CallerProtocol
 import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.RelayCall
 import cassiaspindle.transport.relay.ResponseHead
-import cassiaspindle.transport.relay.answerWhole
 import io.ktor.http.HttpStatusCode
-import io.ktor.server.application.ApplicationCall
 
 /** When a request that found no room may come back, in milliseconds. */
 private const val ROOM_AFTER_MILLISECONDS = 500L
@@ -21,7 +20,7 @@
 internal data class Refusal(val code: ResultCode, val id: String?)
 
 /** Answers with [refusal]; [closing] headers tell the caller to go elsewhere. */
-internal suspend fun ApplicationCall.answer(refusal: Refusal, protocol: CallerProtocol, closing: List<Header>) {
+internal suspend fun RelayCall.answer(refusal: Refusal, protocol: CallerProtocol, closing: List<Header>) {
     val status = statusOf(refusal.code)
     val retryAfter = retryAfterMilliseconds(refusal.code).takeIf { status == HttpStatusCode.ServiceUnavailable }
     val headers = protocol.refusalHeaders(refusal.id, retryAfter) + closing
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayDesk.kt
@@ -6,15 +6,12 @@
 import cassiaspindle.daemon.relay.protocol.CallerRequest
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.RelayCall
 import cassiaspindle.transport.relay.RequestHead
-import cassiaspindle.transport.relay.all
-import cassiaspindle.transport.relay.readBody
-import cassiaspindle.transport.relay.requestHead
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
-import io.ktor.server.application.ApplicationCall
 import kotlinx.coroutines.CancellationException
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
@@ -48,9 +45,9 @@
     fun closing(): List<Header> = if (draining.get()) listOf(Header("Connection", "close")) else emptyList()
 
     /** Serves one request. */
-    suspend fun serve(call: ApplicationCall) {
+    suspend fun serve(call: RelayCall) {
         inFlightCount.incrementAndGet()
-        val head = call.requestHead()
+        val head = call.head
         try {
             take(call, head)
         } catch (gone: CancellationException) {
@@ -61,11 +58,10 @@
         }
     }
 
-    private suspend fun take(call: ApplicationCall, head: RequestHead) {
+    private suspend fun take(call: RelayCall, head: RequestHead) {
         val limits = parts.admission.limits()
         val read = parts.protocol.readRequest(head)
         val request = read.get()
-        val contradicts = head.headers.all("content-length").distinct().size > 1
         val headerBytes = head.headers.sumOf { it.name.length + it.value.length + HEADER_OVERHEAD_BYTES }
         when {
             request == null -> refuse(
@@ -73,14 +69,13 @@
                 Refusal(read.getError()?.code ?: ResultCode.MALFORMED, id = null),
                 "unreadable"
             )
-            contradicts -> refuse(call, Refusal(ResultCode.MALFORMED, request.id), "several_lengths")
             headerBytes > (limits?.maximumHeaderBytes ?: DEFAULT_HEADER_BYTES) ->
                 refuse(call, Refusal(ResultCode.HEADERS_TOO_LARGE, request.id), "header_bytes=$headerBytes")
             else -> takeBody(call, request, limits?.maximumBodyBytes ?: DEFAULT_BODY_BYTES)
         }
     }
 
-    private suspend fun takeBody(call: ApplicationCall, request: CallerRequest, maximumBytes: Int) {
+    private suspend fun takeBody(call: RelayCall, request: CallerRequest, maximumBytes: Int) {
         val body = call.readBody(maximumBytes)
         if (body == null) {
             refuse(call, Refusal(ResultCode.TOO_LARGE, request.id), "limit=$maximumBytes")
@@ -91,7 +86,7 @@
             .onFailure { refuse(call, Refusal(it.code, request.id), it.detail) }
     }
 
-    private suspend fun refuse(call: ApplicationCall, refusal: Refusal, detail: String) {
+    private suspend fun refuse(call: RelayCall, refusal: Refusal, detail: String) {
         parts.metrics.count(refusal.code)
         parts.log.write(
             "request_refused",
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -9,16 +9,14 @@
 import cassiaspindle.relay.request.stepOutOfTime
 import cassiaspindle.relay.request.stepWithoutPlace
 import cassiaspindle.relay.route.RouteChoice
-import cassiaspindle.transport.relay.answerStream
-import cassiaspindle.transport.relay.answerWhole
+import cassiaspindle.transport.relay.RelayCall
 import com.github.michaelbull.result.fold
-import io.ktor.server.application.ApplicationCall
 import kotlinx.io.IOException
 
 /** The attempts of one request, one after the other. */
 internal class RelayRun(
     private val parts: RelayParts,
-    private val call: ApplicationCall,
+    private val call: RelayCall,
     private val relaying: Relaying
 ) {
     private val admitted = relaying.admitted
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
@@ -8,7 +8,7 @@
 import cassiaspindle.relay.route.SuspicionTable
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.relay.Header
-import io.ktor.server.application.ApplicationCall
+import cassiaspindle.transport.relay.RelayCall
 
 /** What relaying works with. */
 internal data class RelayParts(
@@ -34,7 +34,7 @@
 /** Takes admitted requests to backend servers and their answers back. */
 internal class RequestRelay(private val parts: RelayParts) {
     /** Relays [admitted] with its [body] and answers [call]. */
-    suspend fun relay(call: ApplicationCall, admitted: Admitted, body: ByteArray, closing: List<Header>) {
+    suspend fun relay(call: RelayCall, admitted: Admitted, body: ByteArray, closing: List<Header>) {
         parts.budget.earn(admitted.service)
         RelayRun(parts, call, Relaying(admitted, body, closing, parts.now())).run()
     }
--- /dev/null
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
@@ -0,0 +1,111 @@
+package cassiaspindle.transport.relay
+
+import io.ktor.http.cio.ParserException
+import io.ktor.http.cio.Request
+import io.ktor.http.cio.parseRequest
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteChannel
+import io.ktor.utils.io.readAvailable
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import org.tinylog.kotlin.Logger
+
+/** Idle time after which a caller's connection is closed, in milliseconds; callers are told less. */
+private const val IDLE_MILLISECONDS = 20_000L
+
+/** Largest rest of an unread body that is taken from the connection so that it can carry another call, in bytes. */
+private const val MAXIMUM_REST_BYTES = 1024 * 1024
+
+private const val BUFFER_BYTES = 8_192
+private const val HTTP_VERSION = "HTTP/1.1"
+private val BAD_REQUEST = ResponseHead(status = 400, reason = "Bad Request", listOf(Header("Connection", "close")))
+
+/**
+ * One connection of a caller, which carries one call after the other.
+ *
+ * Whether the caller is still there is known from the bytes of the connection alone: they are read all the time, so
+ * that its end is seen at once, and a call that is not answered yet is cancelled then. That no further call can follow
+ * says nothing about the caller, who may wait for the answer to the last one.
+ */
+internal class CallerConnection(private val socket: Socket, private val handler: CallHandler) {
+    private val incoming = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+    private val arrived = ByteChannel()
+
+    @Volatile
+    private var current: RelayCall? = null
+
+    /** Serves calls until the caller leaves, or a call was the last one. */
+    suspend fun serve() {
+        try {
+            coroutineScope {
+                val calls = launch { serveCalls() }
+                val receiving = launch { receive(calls) }
+                calls.join()
+                receiving.cancel()
+            }
+        } finally {
+            socket.close()
+        }
+    }
+
+    private suspend fun receive(calls: Job) {
+        try {
+            val buffer = ByteArray(BUFFER_BYTES)
+            var count = incoming.readAvailable(buffer)
+            while (count >= 0) {
+                arrived.writeFully(buffer, 0, count)
+                arrived.flush()
+                count = incoming.readAvailable(buffer)
+            }
+        } catch (problem: IOException) {
+            Logger.debug { "event=caller_connection_ended reason=${problem.javaClass.simpleName}" }
+        }
+        arrived.flushAndClose()
+        if (current?.isAnswered == false) calls.cancel()
+    }
+
+    private suspend fun serveCalls() {
+        try {
+            var open = true
+            while (open) {
+                open = serveNext()
+            }
+            output.flushAndClose()
+        } catch (problem: IOException) {
+            Logger.debug { "event=call_broke reason=${problem.javaClass.simpleName} detail=\"${problem.message}\"" }
+        } catch (problem: ParserException) {
+            Logger.debug { "event=call_unreadable reason=${problem.message}" }
+            refuse()
+        }
+    }
+
+    /** Serves the next call; false after the last one. */
+    private suspend fun serveNext(): Boolean {
+        val head = withTimeoutOrNull(IDLE_MILLISECONDS) { parseRequest(arrived) }?.use { it.toHead() } ?: return false
+        val framing = requestFraming(head.headers) ?: throw ParserException("the length of the body is contradictory")
+        val awaitsContinue = head.headers.first("expect")?.equals("100-continue", ignoreCase = true) == true
+        val body = RequestBody(framing, awaitsContinue, arrived, output)
+        val call = RelayCall(head, body, output)
+        current = call
+        handler(call)
+        return call.isAnswered && !call.isLast && (body.isRead || body.read(MAXIMUM_REST_BYTES) != null)
+    }
+
+    private suspend fun refuse() {
+        val nothing = RequestBody(Framing.Length(0), awaitsContinue = false, arrived, output)
+        RelayCall(RequestHead("", "", emptyList()), nothing, output).answerWhole(BAD_REQUEST, ByteArray(0))
+        output.flushAndClose()
+    }
+}
+
+private fun Request.toHead(): RequestHead {
+    if (version.toString() != HTTP_VERSION) throw ParserException("the version is $version")
+    return RequestHead(method.value, uri.toString(), headers.toList())
+}
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/Message.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/Message.kt
@@ -1,5 +1,7 @@
 package cassiaspindle.transport.relay
 
+import io.ktor.http.cio.HttpHeadersMap
+
 /** One header line. */
 data class Header(val name: String, val value: String)
 
@@ -43,3 +45,7 @@
     "transfer-encoding",
     "upgrade",
 )
+
+/** The header lines that the library has read. */
+internal fun HttpHeadersMap.toList(): List<Header> =
+    offsets().map { Header(nameAtOffset(it).toString(), valueAtOffset(it).toString()) }.toList()
--- /dev/null
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestBody.kt
@@ -0,0 +1,73 @@
+package cassiaspindle.transport.relay
+
+import io.ktor.http.cio.decodeChunked
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readRemaining
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writer
+import kotlinx.coroutines.coroutineScope
+import kotlinx.io.EOFException
+import kotlinx.io.readByteArray
+
+private val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".encodeToByteArray()
+
+/** How the end of a request's body is known; null where its headers contradict each other. */
+internal fun requestFraming(headers: List<Header>): Framing? {
+    val lengths = headers.all("content-length").distinct()
+    val encodings = headers.all("transfer-encoding")
+    val length = lengths.singleOrNull()?.takeIf { text -> text.all(Char::isDigit) }?.toLongOrNull()
+    return when {
+        encodings.isNotEmpty() -> Framing.Chunked.takeIf {
+            lengths.isEmpty() && encodings.singleOrNull().equals("chunked", ignoreCase = true)
+        }
+        lengths.isEmpty() -> Framing.Length(0)
+        else -> length?.let(Framing::Length)
+    }
+}
+
+/** The body of a request, which is read once. */
+internal class RequestBody(
+    private val framing: Framing,
+    private val awaitsContinue: Boolean,
+    private val input: ByteReadChannel,
+    private val output: ByteWriteChannel,
+) {
+    /** Whether nothing of it is left on the connection. */
+    var isRead = framing == Framing.Length(0)
+        private set
+
+    /** All of it, or null where it is larger than [maximumBytes]; the rest stays unread then. */
+    suspend fun read(maximumBytes: Int): ByteArray? {
+        val length = (framing as? Framing.Length)?.bytes
+        val bytes = when {
+            isRead -> ByteArray(0)
+            length == null -> readChunked(maximumBytes)
+            length > maximumBytes -> null
+            else -> readCounted(length.toInt())
+        }
+        isRead = bytes != null
+        return bytes
+    }
+
+    private suspend fun readCounted(length: Int): ByteArray {
+        askToContinue()
+        return input.readByteArray(length)
+    }
+
+    private suspend fun askToContinue() {
+        if (!awaitsContinue) return
+        output.writeFully(CONTINUE)
+        output.flush()
+    }
+
+    private suspend fun readChunked(maximumBytes: Int): ByteArray? = coroutineScope {
+        askToContinue()
+        val decoding = writer { decodeChunked(input, channel) }
+        val bytes = decoding.channel.readRemaining(maximumBytes + 1L).readByteArray()
+        decoding.channel.closedCause?.let { throw EOFException("the request broke off: ${it.message}") }
+        if (bytes.size > maximumBytes) decoding.job.cancel()
+        bytes.takeIf { it.size <= maximumBytes }
+    }
+}
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -73,10 +73,7 @@
     /** Reads the start of the answer; throws [IOException] where there is none. */
     suspend fun readHead(): ResponseHead {
         val response = parseResponse(input) ?: throw EOFException("the connection ended before an answer")
-        val headers = response.headers.offsets()
-            .map { Header(response.headers.nameAtOffset(it).toString(), response.headers.valueAtOffset(it).toString()) }
-            .toList()
-        val head = ResponseHead(response.status, response.statusText.toString(), headers)
+        val head = ResponseHead(response.status, response.statusText.toString(), response.headers.toList())
         response.release()
         begin(head)
         return head
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -1,28 +1,67 @@
 package cassiaspindle.transport.relay
 
 import cassiaspindle.transport.peer.HostAndPort
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldEndWith
+import io.kotest.matchers.string.shouldNotContain
+import io.kotest.matchers.string.shouldStartWith
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
+import kotlinx.io.IOException
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
 class RelayServerTest : AnnotationSpec() {
     private val port = ServerSocket(0).use { it.localPort }
     private val head = ResponseHead(200, "OK", emptyList())
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val callerLeft = CountDownLatch(1)
     private val server = RelayServer.start(
-        mapOf(
-            HostAndPort("127.0.0.1", port) to { call ->
-                if (call.requestHead().target == "/slow") delay(100)
-                val body = call.readBody(MAXIMUM_BODY_BYTES)
-                call.answerWhole(head, "${body?.size}".encodeToByteArray())
-            },
-        ),
+        mapOf(HostAndPort("127.0.0.1", port) to ::serve),
+        selector,
+        CoroutineScope(SupervisorJob() + Dispatchers.Default),
     )
 
+    private suspend fun serve(call: RelayCall) = when (call.head.target) {
+        "/wait" -> waitForEnd()
+        "/stream" -> stream(call, isWhole = true)
+        "/broken" -> stream(call, isWhole = false)
+        "/unread" -> call.answerWhole(head, "unread".encodeToByteArray())
+        else -> {
+            if (call.head.target == "/slow") delay(100)
+            val body = call.readBody(MAXIMUM_BODY_BYTES)
+            call.answerWhole(head, "${body?.size}".encodeToByteArray())
+        }
+    }
+
+    private suspend fun waitForEnd(): Nothing = try {
+        awaitCancellation()
+    } catch (gone: CancellationException) {
+        callerLeft.countDown()
+        throw gone
+    }
+
+    private suspend fun stream(call: RelayCall, isWhole: Boolean) = call.answerStream(head) { write ->
+        write("one".encodeToByteArray())
+        if (!isWhole) throw IOException("the stream can't go on")
+        write("two!".encodeToByteArray())
+    }
+
     @AfterAll
-    fun stop() = server.close()
+    fun stop() {
+        server.close()
+        selector.close()
+    }
 
     @Test
     fun `connections that callers reset do not stop the server`() {
@@ -31,26 +70,65 @@
                 repeat(200) { index -> resetConnection(index % 4) }
             }
         }.forEach { it.join() }
-        ask("/slow") shouldBe "HTTP/1.1 200 OK"
+        ask("GET /slow HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n") shouldStartWith "HTTP/1.1 200 OK"
     }
 
     @Test
     fun `a call that is the last on its connection is answered and not taken for one whose caller left`() {
-        val answers = List(CALLS) { sendLast("PUT /slow HTTP/1.1\r\nHost: h\r\nConnection: close\r\n", BODY_BYTES) }
+        val call = "PUT /slow HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: $BODY_BYTES\r\n\r\n"
+        val answers = List(CALLS) { ask(call, ByteArray(BODY_BYTES)).lines().first() }
         answers.groupingBy { it }.eachCount() shouldBe mapOf("HTTP/1.1 200 OK" to CALLS)
     }
 
-    private fun sendLast(head: String, bytes: Int): String? = Socket("127.0.0.1", port).use { socket ->
-        socket.soTimeout = 5_000
-        socket.getOutputStream().write("${head}Content-Length: $bytes\r\n\r\n".toByteArray())
-        socket.getOutputStream().write(ByteArray(bytes))
-        socket.getInputStream().bufferedReader().readLine()
+    @Test
+    fun `a call whose caller leaves is cancelled, on a last connection too`() {
+        Socket("127.0.0.1", port).use { socket ->
+            socket.getOutputStream().write("GET /wait HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".toByteArray())
+            Thread.sleep(100)
+            withClue("cancelled while the caller waits") { callerLeft.count shouldBe 1 }
+        }
+        callerLeft.await(5, TimeUnit.SECONDS) shouldBe true
     }
 
-    private companion object {
-        const val MAXIMUM_BODY_BYTES = 1024 * 1024
-        const val BODY_BYTES = 150_000
-        const val CALLS = 60
+    @Test
+    fun `a connection carries several calls, sent together or with bodies of every framing`() {
+        val calls = listOf(
+            "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+            "PUT /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+            "PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n",
+            "PUT /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+            "GET /d HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+        )
+        val bodies = ask(calls.joinToString("")).split("HTTP/1.1 200 OK").drop(1).map { it.substringAfter("\r\n\r\n") }
+        bodies shouldBe listOf("0", "5", "7", "unread", "0")
+    }
+
+    @Test
+    fun `a caller that waits for permission to send its body gets it`() {
+        val waits = "Expect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n"
+        ask("PUT /a HTTP/1.1\r\nHost: h\r\n$waits\r\nhi") shouldStartWith "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"
+    }
+
+    @Test
+    fun `a stream ends with a last chunk only where it is whole`() {
+        val last = "Host: h\r\nConnection: close\r\n\r\n"
+        ask("GET /stream HTTP/1.1\r\n$last") shouldEndWith "\r\n\r\n3\r\none\r\n4\r\ntwo!\r\n0\r\n\r\n"
+        val broken = ask("GET /broken HTTP/1.1\r\nHost: h\r\n\r\n")
+        broken shouldEndWith "3\r\none\r\n"
+        broken shouldNotContain "0\r\n\r\n"
+    }
+
+    @Test
+    fun `a request whose end is not certain is refused and its connection closed`() {
+        listOf(
+            "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+            "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: +5\r\n\r\nhello",
+            "PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            "no request at all\r\n\r\n",
+        ).forEach { call ->
+            withClue(call) { ask(call + "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n").lines().first() shouldBe REFUSED }
+        }
     }
 
     private fun resetConnection(kind: Int) = Socket("127.0.0.1", port).use { socket ->
@@ -62,9 +140,17 @@
         }
     }
 
-    private fun ask(target: String): String? = Socket("127.0.0.1", port).use { socket ->
+    /** All that comes back until the server closes the connection. */
+    private fun ask(call: String, body: ByteArray = ByteArray(0)): String = Socket("127.0.0.1", port).use { socket ->
         socket.soTimeout = 5_000
-        socket.getOutputStream().write("GET $target HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray())
-        socket.getInputStream().bufferedReader().readLine()
+        socket.getOutputStream().write(call.toByteArray() + body)
+        socket.getInputStream().readBytes().decodeToString()
+    }
+
+    private companion object {
+        const val MAXIMUM_BODY_BYTES = 1024 * 1024
+        const val BODY_BYTES = 150_000
+        const val CALLS = 60
+        const val REFUSED = "HTTP/1.1 400 Bad Request"
     }
 }
