Read and write sockets on as many threads as there are processors, with one selector a process

Cause: the socket library reads and writes on a pool of up to 64 threads, and each part of the process had a selector of its own in it. On one processor the threads only take turns: 167 of the stacks taken while an executor was late stand at the begin of a read.

Now one selector waits on a thread of its own, and two threads at least, or as many as there are processors, read and write.

--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -23,12 +23,12 @@
 import cassiaspindle.transport.peer.PeerHandlers
 import cassiaspindle.transport.peer.PeerServer
 import cassiaspindle.transport.peer.PeerSettings
+import cassiaspindle.transport.peer.newSelector
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.map
-import io.ktor.network.selector.SelectorManager
 import io.micrometer.core.instrument.Gauge
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -61,7 +61,7 @@
     private val opened: OpenedLog,
 ) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selector = newSelector()
     private val timer: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { task ->
         Thread(task, "control-timer").apply { isDaemon = true }
     }
@@ -93,6 +93,7 @@
     private val server: PeerServer = PeerServer.start(
         HostAndPort.parse(own.peerAddress),
         peerSettings,
+        selector,
         scope,
         PeerHandlers(PeerDesk(performer, identityChoice)::received, onRefused = { metrics.count(it.code) }),
     )
--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
@@ -16,7 +16,7 @@
 import cassiaspindle.transport.http.server.HttpFrontEnd
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerSettings
-import io.ktor.network.selector.SelectorManager
+import cassiaspindle.transport.peer.newSelector
 import io.micrometer.core.instrument.Gauge
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -43,7 +43,7 @@
 class EntryDaemon(private val settings: EntrySettings, environment: EntryEnvironment) {
     private val parts = EntryParts(settings, environment)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selector = newSelector()
     private val timer: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { task ->
         Thread(task, "entry-timer").apply { isDaemon = true }
     }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
@@ -18,6 +18,7 @@
 import cassiaspindle.transport.peer.PeerServer
 import cassiaspindle.transport.peer.PeerSettings
 import com.github.michaelbull.result.Result
+import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import java.util.concurrent.atomic.AtomicLong
 
@@ -28,6 +29,7 @@
     val peerSettings: PeerSettings,
     val state: FleetState,
     val link: FleetLink,
+    val selector: SelectorManager,
     val scope: CoroutineScope,
 )
 
@@ -54,6 +56,7 @@
         PeerServer.start(
             HostAndPort.parse(settings.peerAddress),
             parts.peerSettings,
+            parts.selector,
             parts.scope,
             PeerHandlers(
                 desk::received,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -30,13 +30,13 @@
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerSettings
+import cassiaspindle.transport.peer.newSelector
 import cassiaspindle.transport.relay.CallHandler
 import cassiaspindle.transport.relay.Header
 import cassiaspindle.transport.relay.RelayCall
 import cassiaspindle.transport.relay.RelayServer
 import cassiaspindle.transport.relay.ResponseHead
 import cassiaspindle.transport.relay.RunnerConnections
-import io.ktor.network.selector.SelectorManager
 import io.micrometer.core.instrument.Gauge
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -72,7 +72,7 @@
     private val clock = environment.clock
     private val protocol = environment.protocol
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selector = newSelector()
     private val timer: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { task ->
         Thread(task, "relay-timer").apply { isDaemon = true }
     }
@@ -91,7 +91,7 @@
         LinkHandlers(state::take) { peer, frame -> core.heard(peer, frame) },
         clock.monotonicMilliseconds,
     )
-    private val core: CoreMember = CoreMember(CoreParts(settings, environment, peerSettings, state, link, scope))
+    private val core: CoreMember = CoreMember(CoreParts(settings, environment, peerSettings, state, link, selector, scope))
     private val standing = EntryStanding(settings, clock, state)
     private val connections = RunnerConnections(selector, clock.monotonicMilliseconds)
     private val placement = PlacementRunner(
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -12,7 +12,6 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -29,7 +28,6 @@
 
 /** Accepts connections of own processes; the first frame has to show the key. */
 class PeerServer private constructor(
-    private val selector: SelectorManager,
     private val socket: ServerSocket,
     private val settings: PeerSettings,
     private val handlers: PeerHandlers,
@@ -45,7 +43,6 @@
     fun close() {
         socket.close()
         connections.forEach(PeerConnection::close)
-        selector.close()
     }
 
     private suspend fun acceptAll(scope: CoroutineScope) {
@@ -101,14 +98,14 @@
         fun start(
             address: HostAndPort,
             settings: PeerSettings,
+            selector: SelectorManager,
             scope: CoroutineScope,
             handlers: PeerHandlers,
         ): PeerServer {
-            val selector = SelectorManager(Dispatchers.IO)
             val socket = runBlocking {
                 aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
             }
-            val server = PeerServer(selector, socket, settings, handlers)
+            val server = PeerServer(socket, settings, handlers)
             scope.launch { server.acceptAll(scope) }
             return server
         }
--- a/transport/peer/src/test/kotlin/cassiaspindle/transport/peer/PeerServerTest.kt
+++ b/transport/peer/src/test/kotlin/cassiaspindle/transport/peer/PeerServerTest.kt
@@ -7,7 +7,6 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -26,17 +25,19 @@
     private val refused = LinkedBlockingQueue<ResultCode>()
     private val address = HostAndPort("127.0.0.1", ServerSocket(0).use { it.localPort })
     private val handlers = PeerHandlers({ _, frame -> frames.add(frame) }, { refused.add(it.code) })
-    private val server = PeerServer.start(address, settings, connections, handlers)
+    private val selector = newSelector()
+    private val server = PeerServer.start(address, settings, selector, connections, handlers)
 
     @AfterAll
     fun stop() {
         server.close()
+        selector.close()
         connections.cancel()
     }
 
     @Test
     fun `each bad beginning is refused with its code and disturbs nobody`() {
-        val good = PeerClient("server", address, settings, SelectorManager(Dispatchers.IO)) {}
+        val good = PeerClient("server", address, settings, selector) {}
         val connected = good.start(connections)
         val beginnings = mapOf(
             framed(encodeCbor(PeerFrame(PeerFrameKind.HELLO, key = "wrong key"))) to ResultCode.UNAUTHENTICATED,
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -7,7 +7,7 @@
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldStartWith
-import io.ktor.network.selector.SelectorManager
+import cassiaspindle.transport.peer.newSelector
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -24,7 +24,7 @@
 class RelayServerTest : AnnotationSpec() {
     private val port = ServerSocket(0).use { it.localPort }
     private val head = ResponseHead(200, "OK", emptyList())
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selector = newSelector()
     private val callerLeft = CountDownLatch(1)
     private val server = RelayServer.start(
         mapOf(HostAndPort("127.0.0.1", port) to ::serve),
