Tell each entry VM what is new from one replica, and its whole state only where it lacks something for long

Cause: news grew with the square of the fleet and more. Each of six replicas told each of 79 entry VMs everything: the whole list of entry VMs at each step of any of them, and the whole fleet at each presence (2.5 a second) of an entry VM without a configuration or with another digest, which during a start is everyone. The processes of the replicas stood still for up to 0.8 s, so that no leader lasted (replica_standing: leaders at -9.3 s for 1.0 s, -4.3 s for 1 s), and without a leader there is no configuration: the load kept itself up.

Now an entry VM follows one replica, in its own zone where there is one, that speaks and hears a leader (FollowedReplica); it is told its lack at once when it starts, and then only if it differs for 0.9 s (LagTable); the list of entry VMs goes out with the hub's tick; a frame for several is encoded once; digests are kept until something changes; replicas are asked for in one of five rounds once they are known. A sole replica follows itself.

FleetHubTest bounds what a starting fleet is told; the hub had no such bound and no test before.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreDesk.kt
@@ -25,7 +25,7 @@
 
     private fun serve(replica: ReplicaHost, connection: PeerConnection, frame: PeerFrame) {
         frame.replication?.let(replica.performer::receive)
-        frame.entryPresence?.let { hub.heard(connection, it) }
+        frame.entryPresence?.let { hub.heard(it, connection::sendShared) }
         frame.runnerNotice?.let {
             hub.heard(it)
             connection.send(PeerFrame(PeerFrameKind.RUNNER_NOTICE_REPLY, correlation = frame.correlation))
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/CoreMember.kt
@@ -20,6 +20,7 @@
 import com.github.michaelbull.result.Result
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
 /** What a process works with among the control replicas. */
@@ -40,14 +41,15 @@
     private val slot = ReplicaSlot(environment.log, ::openReplica)
     private val search = ReplicaSearch(environment.clock.monotonicMilliseconds, settings.seedPeerAddresses)
     private val toldVersion = AtomicLong()
+    private val round = AtomicInteger()
     private val standing = StandingLog(environment.log)
     private val hub = FleetHub(
         parts.state,
         HubSurroundings(
             now = environment.clock.monotonicMilliseconds,
-            broadcast = { server.broadcast(it) },
             configuration = { slot.replica?.performer?.node?.reads?.currentConfiguration() },
             leads = ::leads,
+            hearsLeader = { slot.replica?.performer?.node?.documentGroup()?.leader != null },
             heartbeatMilliseconds = settings.heartbeatMilliseconds,
         ),
     )
@@ -83,7 +85,8 @@
 
     /** Asks everyone connected who the control replicas are, and connects to those that are known. */
     fun discover() {
-        parts.link.sendToAll(presence())
+        val isSettled = search.isSettled && slot.replica?.isUnsettled != true
+        if (!isSettled || round.getAndIncrement() % ROUNDS_WHEN_SETTLED == 0) parts.link.sendToAll(presence())
         val members = search.members(slot.replica?.performer?.node?.membership())
         val self = setOfNotNull(settings.peerAddress.takeIf { settings.dataFolder != null })
         parts.link.connectTo(members.ifEmpty { search.seeds.toSet() } + self, members)
@@ -139,6 +142,9 @@
     }
 
     private companion object {
+        /** Once the replicas are known they are asked for in one of so many rounds. */
+        const val ROUNDS_WHEN_SETTLED = 5
+
         /** Time for the last writes when the process stops, in milliseconds. */
         const val CLOSE_MILLISECONDS = 300L
     }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/EntryStanding.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/EntryStanding.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.daemon.relay
 
 import cassiaspindle.core.time.Clock
+import cassiaspindle.daemon.relay.fleet.FleetLink
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.digestOf
 import cassiaspindle.schema.EntryPresence
@@ -23,15 +24,23 @@
     /** From now on callers are sent elsewhere. */
     fun drain() = draining.set(true)
 
-    /** What this entry VM says of itself. */
-    fun presence() = EntryPresence(
+    /** Tells the control replicas what this entry VM says of itself. */
+    fun tell(link: FleetLink) = link.tell(presence(), neighbours())
+
+    /** Peer addresses of the entry VMs in the same availability zone. */
+    private fun neighbours(): Set<String> = state.entries.entries
+        .filter { it.availabilityZone == settings.availabilityZone }
+        .map(EntryPresence::name)
+        .toSet()
+
+    private fun presence() = EntryPresence(
         name = settings.peerAddress,
         incarnation = incarnation,
         availabilityZone = settings.availabilityZone,
         callerAddress = settings.callerAddress,
         ready = isReady,
         configurationVersion = state.configuration.version,
-        fleetDigest = digestOf(state.runners.digest(), state.entries.entries),
+        fleetDigest = digestOf(state.runners.digest(), state.entries.digest),
     )
 
     /** A process that has just started waits for announcements, but not for long: there may be none. */
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -91,7 +91,8 @@
         LinkHandlers(state::take) { peer, frame -> core.heard(peer, frame) },
         clock.monotonicMilliseconds,
     )
-    private val core: CoreMember = CoreMember(CoreParts(settings, environment, peerSettings, state, link, selector, scope))
+    private val core: CoreMember =
+        CoreMember(CoreParts(settings, environment, peerSettings, state, link, selector, scope))
     private val standing = EntryStanding(settings, clock, state)
     private val connections = RunnerConnections(selector, clock.monotonicMilliseconds)
     private val placement = PlacementRunner(
@@ -123,7 +124,7 @@
         standing.drain()
         desk.drain()
         log.write("stopping", "in_flight" to desk.inFlight)
-        link.tell(standing.presence())
+        standing.tell(link)
         DrainWait(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds, clock).await { desk.inFlight }
         watch.close()
         timer.shutdownNow()
@@ -145,7 +146,7 @@
         core.start()
         server
         every(DISCOVER_MILLISECONDS, core::discover)
-        every(PRESENCE_MILLISECONDS) { link.tell(standing.presence()) }
+        every(PRESENCE_MILLISECONDS) { standing.tell(link) }
         every(PLACEMENT_MILLISECONDS, placement::tick)
         every(HUB_MILLISECONDS, core::tickHub)
         watch.start()
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaSearch.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaSearch.kt
@@ -17,6 +17,9 @@
     /** Peer addresses to ask while no replica is known. */
     val seeds: List<String> get() = currentSeeds.get()
 
+    /** Whether any replica is known. */
+    val isSettled: Boolean get() = known.get().isNotEmpty()
+
     /** Takes other seeds. */
     fun reseed(seeds: List<String>) = currentSeeds.set(seeds)
 
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetHub.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetHub.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.daemon.relay.fleet
 
+import cassiaspindle.relay.fleet.LagTable
 import cassiaspindle.relay.fleet.PresenceTable
 import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.FleetNews
@@ -8,8 +9,9 @@
 import cassiaspindle.schema.RunnerNotice
 import cassiaspindle.schema.RunnerState
 import cassiaspindle.schema.StoredConfiguration
-import cassiaspindle.transport.peer.PeerConnection
+import cassiaspindle.transport.peer.OutgoingFrame
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** Silence after which an entry VM is not told to callers any more, in milliseconds. */
 private const val PRESENCE_LEASE_MILLISECONDS = 1_300L
@@ -17,43 +19,50 @@
 /** Announcements that a backend server may miss before it counts as silent. */
 private const val MISSED_ANNOUNCEMENTS = 3
 
+/** Queues a frame for one entry VM; false where it is lost because its connection is closed or does not keep up. */
+typealias FrameSend = (OutgoingFrame) -> Boolean
+
 /** What the hub needs of its surroundings, as function types. */
 data class HubSurroundings(
     val now: () -> Long,
-    /** Sends a frame to all entry VMs that are connected; must not wait. */
-    val broadcast: (PeerFrame) -> Unit,
     /** The newest configuration that this replica has applied, or null. */
     val configuration: () -> StoredConfiguration?,
     /** Whether this replica leads. */
     val leads: () -> Boolean,
+    /** Whether this replica leads or hears a leader. */
+    val hearsLeader: () -> Boolean,
     /** Time between two announcements of a backend server, in milliseconds. */
     val heartbeatMilliseconds: Long,
 )
 
-/** The part of a control replica that hears entry VMs and backend servers and tells every entry VM what changed. */
+/** The part of a control replica that hears entry VMs and backend servers and tells its followers what changed. */
 class FleetHub(private val state: FleetState, private val surroundings: HubSurroundings) {
     private val presences = PresenceTable(PRESENCE_LEASE_MILLISECONDS)
-    private val lagging = ConcurrentHashMap<String, Long>()
+    private val lags = LagTable()
+    private val followers = ConcurrentHashMap<String, FrameSend>()
+    private val isListChanged = AtomicBoolean()
 
-    /** Takes the presence of an entry VM, and tells it what it lacks. */
-    fun heard(connection: PeerConnection, presence: EntryPresence) {
-        if (presences.offer(presence, surroundings.now())) tellEntries()
+    /** Takes the presence of an entry VM, and answers one that follows, by [send], with what it lacks, if anything. */
+    fun heard(presence: EntryPresence, send: FrameSend) {
+        if (presences.offer(presence, surroundings.now())) isListChanged.set(true)
+        if (presence.follows) followers[presence.name] = send else followers -= presence.name
         val newest = surroundings.configuration()
-        val lacksConfiguration = newest != null && presence.configurationVersion < newest.version
-        val lacksFleet = presence.fleetDigest != digest()
-        val lacked = if (lacksConfiguration || lacksFleet) lagging.merge(presence.name, 1L, Long::plus) else null
-        if (lacked == null) {
-            lagging.remove(presence.name)
-        } else if (lacked > 1 || presence.configurationVersion == 0L) {
-            val news = whole().copy(configuration = newest.takeIf { lacksConfiguration })
-            connection.send(PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = news))
+        val lacked = newest?.takeIf { presence.configurationVersion < it.version }
+        val differs = lacked != null || (presence.follows && presence.fleetDigest != digest())
+        val isResponsible = presence.follows || surroundings.leads()
+        val isDue = isResponsible && lags.isRepairDue(presence, differs, surroundings.now())
+        val news = when {
+            isDue -> whole().copy(configuration = lacked)
+            presence.follows -> FleetNews()
+            else -> null
         }
+        news?.let { send(frameOf(it)) }
     }
 
     /** Takes what a backend server said, or an entry VM found, and tells it on where it changes anything. */
     fun heard(notice: RunnerNotice) {
         val told = if (notice.state == RunnerState.SILENT) atNewest(notice) else notice
-        if (state.take(told)) broadcast(FleetNews(runners = listOf(told)))
+        if (state.take(told)) tellFollowers(FleetNews(runners = listOf(told)))
     }
 
     /** An entry VM that finds a backend server silent has not heard its newest announcement. */
@@ -62,30 +71,41 @@
         ?.copy(state = RunnerState.SILENT)
         ?: found
 
-    /** Tells every entry VM the configuration [stored] where this replica leads. */
+    /** Tells the followers the configuration [stored]. */
     fun applied(stored: StoredConfiguration) {
         state.take(stored)
-        if (surroundings.leads()) broadcast(FleetNews(configuration = stored))
+        tellFollowers(FleetNews(configuration = stored))
     }
 
-    /** Finds out who fell silent. */
+    /** Finds out who fell silent, and tells the list of entry VMs where it changed. */
     fun tick() {
         val now = surroundings.now()
         val silent = state.runners.findSilent(now, surroundings.heartbeatMilliseconds * MISSED_ANNOUNCEMENTS)
-        if (silent.isNotEmpty()) broadcast(FleetNews(runners = silent))
-        if (presences.expire(now)) tellEntries()
+        if (silent.isNotEmpty()) tellFollowers(FleetNews(runners = silent))
+        if (presences.expire(now)) isListChanged.set(true)
+        if (isListChanged.getAndSet(false)) {
+            tellFollowers(FleetNews(entryPresences = presences.live().entries, presencesKnown = true))
+        }
     }
 
-    private fun digest(): Long = digestOf(state.runners.digest(), presences.live())
+    private fun digest(): Long = digestOf(state.runners.digest(), presences.live().digest)
 
-    private fun tellEntries() = broadcast(FleetNews(entryPresences = presences.live(), presencesKnown = true))
+    private fun whole() = FleetNews(
+        runners = state.runners.all(),
+        entryPresences = presences.live().entries,
+        presencesKnown = true,
+    )
 
-    private fun whole() =
-        FleetNews(runners = state.runners.all(), entryPresences = presences.live(), presencesKnown = true)
+    private fun tellFollowers(news: FleetNews) {
+        val frame = frameOf(news)
+        followers.values.removeIf { send -> !send(frame) }
+    }
 
-    private fun broadcast(news: FleetNews) =
-        surroundings.broadcast(PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = news))
+    private fun frameOf(news: FleetNews): OutgoingFrame {
+        val dated = news.copy(hearsLeader = surroundings.hearsLeader())
+        return OutgoingFrame(PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = dated))
+    }
 }
 
 /** A digest of backend servers and entry VMs, the same in every process that knows the same. */
-internal fun digestOf(runners: Long, entries: List<EntryPresence>): Long = runners + entries.toString().hashCode()
+internal fun digestOf(runners: Long, entries: Long): Long = runners + entries
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetLink.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetLink.kt
@@ -1,6 +1,8 @@
 package cassiaspindle.daemon.relay.fleet
 
 import cassiaspindle.core.result.ResultCode
+import cassiaspindle.relay.fleet.FollowQuestion
+import cassiaspindle.relay.fleet.FollowedReplica
 import cassiaspindle.schema.CommandOutcome
 import cassiaspindle.schema.ControlCommand
 import cassiaspindle.schema.EntryPresence
@@ -56,6 +58,7 @@
     private val members = AtomicReference<Set<String>>(emptySet())
     private val leader = AtomicReference<String?>(null)
     private val nextLink = AtomicInteger()
+    private val followed = FollowedReplica(settings.name)
 
     /** Peer addresses of the control replicas, as far as they are known. */
     val replicas: Set<String> get() = members.get()
@@ -73,10 +76,15 @@
     /** Sends [frame] to everyone connected. */
     fun sendToAll(frame: PeerFrame) = links.values.forEach { it.client.send(frame) }
 
-    /** Tells the control replicas about this entry VM. */
-    fun tell(presence: EntryPresence) {
-        val frame = PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = presence)
-        members.get().forEach { send(it, frame) }
+    /** Tells the control replicas about this entry VM; one of them, by choice one of [near], tells it what is new. */
+    fun tell(presence: EntryPresence, near: Set<String>) {
+        val connected = members.get().filter { links[it]?.client?.isConnected == true }.toSet()
+        val others = connected - presence.name
+        val teller = followed.choose(FollowQuestion(others.ifEmpty { connected }, near, now()))
+        members.get().forEach { peer ->
+            val told = presence.copy(follows = peer == teller)
+            send(peer, PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = told))
+        }
     }
 
     /** Tells all control replicas of [notice]; the number of them that have it within [timeoutMilliseconds]. */
@@ -140,7 +148,10 @@
     }
 
     private fun heard(peer: String, frame: PeerFrame) {
-        frame.fleetNews?.let(handlers.onNews)
+        frame.fleetNews?.let { news ->
+            followed.heard(peer, news.hearsLeader, now())
+            handlers.onNews(news)
+        }
         when (frame.kind) {
             PeerFrameKind.PRESENCE -> handlers.onPresence(peer, frame)
             PeerFrameKind.COMMAND_REPLY, PeerFrameKind.RUNNER_NOTICE_REPLY ->
--- /dev/null
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetHubTest.kt
@@ -0,0 +1,108 @@
+package cassiaspindle.daemon.relay.fleet
+
+import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.schema.EntryPresence
+import cassiaspindle.schema.FleetNews
+import cassiaspindle.schema.RunnerNotice
+import cassiaspindle.schema.RunnerState
+import cassiaspindle.schema.StoredConfiguration
+import com.github.michaelbull.result.Err
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import java.io.OutputStream
+import java.io.PrintStream
+
+class FleetHubTest : AnnotationSpec() {
+    private val log = EventLog(PrintStream(OutputStream.nullOutputStream())) { 0 }
+    private val told = mutableMapOf<String, MutableList<FleetNews>>()
+    private var now = 0L
+    private var configuration: StoredConfiguration? = null
+    private lateinit var hub: FleetHub
+
+    @BeforeEach
+    fun begin() {
+        told.clear()
+        now = 0
+        configuration = null
+        val state = FleetState(log, { now }) { Err(Failure(ResultCode.MALFORMED, "not read here")) }
+        val surroundings = HubSurroundings(
+            now = { now },
+            configuration = { configuration },
+            leads = { false },
+            hearsLeader = { true },
+            heartbeatMilliseconds = 60_000,
+        )
+        hub = FleetHub(state, surroundings)
+    }
+
+    private fun runner(index: Int) = RunnerNotice(
+        id = "runner-$index",
+        service = "model",
+        address = "r:$index",
+        availabilityZone = "a",
+        state = RunnerState.READY,
+        bornMilliseconds = 1,
+        sequence = 1,
+    )
+
+    private fun say(entry: Int, follows: Boolean, isOpen: Boolean = true) {
+        val name = "entry-$entry"
+        val presence = EntryPresence(name, incarnation = 1, "a", "c:$entry", ready = true, follows = follows)
+        hub.heard(presence) { outgoing ->
+            if (isOpen) outgoing.frame.fleetNews?.let { told.getOrPut(name) { mutableListOf() } += it }
+            isOpen
+        }
+    }
+
+    @Test
+    fun `a fleet that starts together is told its list a few times a second and not at each step of a member`() {
+        repeat(10) { step ->
+            now = step * 100L
+            repeat(ENTRIES) { say(it, follows = it < FOLLOWERS) }
+            repeat(10) { hub.heard(runner(step * 10 + it)) }
+            hub.tick()
+        }
+        told.keys.size shouldBe FOLLOWERS
+        told.values.flatten().sumOf { it.entryPresences.size } shouldBeLessThanOrEqual FOLLOWERS * ENTRIES * 3
+        told.values.flatten().sumOf { it.runners.size } shouldBeLessThanOrEqual FOLLOWERS * 100 * 2
+    }
+
+    @Test
+    fun `only followers are told what changes`() {
+        say(1, follows = true)
+        say(2, follows = false)
+        hub.heard(runner(1))
+        configuration = StoredConfiguration(3, "text").also(hub::applied)
+        told.keys shouldBe setOf("entry-1")
+        told.getValue("entry-1").flatMap(FleetNews::runners).map(RunnerNotice::id) shouldBe listOf("runner-1")
+        told.getValue("entry-1").mapNotNull(FleetNews::configuration).map { it.version } shouldBe listOf(3L)
+    }
+
+    @Test
+    fun `a follower that lacks a configuration for long is told it again`() {
+        say(1, follows = true)
+        configuration = StoredConfiguration(3, "text")
+        (400L..2_000L step 400).forEach { time ->
+            now = time
+            say(1, follows = true)
+        }
+        told.getValue("entry-1").mapNotNull(FleetNews::configuration).size shouldBe 1
+    }
+
+    @Test
+    fun `a follower whose connection closed is told nothing more until it speaks again`() {
+        say(1, follows = true)
+        say(1, follows = true, isOpen = false)
+        hub.heard(runner(1))
+        hub.heard(runner(2))
+        told.getValue("entry-1").flatMap(FleetNews::runners) shouldBe emptyList()
+    }
+
+    private companion object {
+        const val ENTRIES = 80
+        const val FOLLOWERS = 14
+    }
+}
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryList.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryList.kt
@@ -11,13 +11,16 @@
 
 /** The entry VMs that callers may be sent to, as told by the control replicas. */
 class EntryList {
-    private val current = AtomicReference<List<EntryPresence>>(emptyList())
+    private val current = AtomicReference(ListedEntries(emptyList()))
 
     /** The list that was told last. */
-    val entries: List<EntryPresence> get() = current.get()
+    val entries: List<EntryPresence> get() = current.get().entries
+
+    /** The digest of that list. */
+    val digest: Long get() = current.get().digest
 
     /** Takes a new list. */
-    fun replace(entries: List<EntryPresence>) = current.set(entries)
+    fun replace(entries: List<EntryPresence>) = current.set(ListedEntries(entries))
 
     /** The caller addresses of the ready entry VMs in [availabilityZone], and of all where these are too few. */
     fun addresses(availabilityZone: String?): List<String> {
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.schema.RunnerNotice
 import cassiaspindle.schema.RunnerState
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
 
 private const val SHARDS = 8
 
@@ -14,6 +15,7 @@
 class RunnerTable {
     private val shards = Sharded(SHARDS) { mutableMapOf<String, Entry>() }
     private val changes = AtomicLong()
+    private val digested = AtomicReference(Digested(revision = 0, digest = 0))
 
     /** Grows with every change that decisions depend on. */
     val revision: Long get() = changes.get()
@@ -54,7 +56,16 @@
     }.flatten().filter { offer(it, nowMilliseconds) }
 
     /** A digest of all that are ready; those that left are forgotten at different times in different processes. */
-    fun digest(): Long = all().filter { it.isUsable }.sumOf { it.settled().toString().hashCode().toLong() }
+    fun digest(): Long {
+        val now = revision
+        val held = digested.get()
+        if (held.revision == now) return held.digest
+        val digest = all().filter { it.isUsable }.sumOf { it.settled().toString().hashCode().toLong() }
+        digested.set(Digested(now, digest))
+        return digest
+    }
+
+    private data class Digested(val revision: Long, val digest: Long)
 
     private data class Entry(val notice: RunnerNotice, val heardMilliseconds: Long) {
         fun isOlder(milliseconds: Long, nowMilliseconds: Long) = nowMilliseconds - heardMilliseconds > milliseconds
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/fleet/EntryListTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/fleet/EntryListTest.kt
@@ -28,9 +28,9 @@
         val table = PresenceTable(leaseMilliseconds = 1_000)
         table.offer(entry("a", "x").copy(incarnation = 2), 0) shouldBe true
         table.offer(entry("a", "x", ready = false), 10) shouldBe false
-        table.live().single().ready shouldBe true
+        table.live().entries.single().ready shouldBe true
         table.expire(1_000) shouldBe false
         table.expire(1_001) shouldBe true
-        table.live() shouldBe emptyList()
+        table.live().entries shouldBe emptyList()
     }
 }
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/FrameChannel.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/FrameChannel.kt
@@ -24,10 +24,17 @@
     }
 }
 
+/** A frame on its way to one or several processes; it is encoded once. */
+class OutgoingFrame(
+    /** What it says. */
+    val frame: PeerFrame,
+) {
+    internal val bytes: ByteArray by lazy { encodeCbor(frame) }
+}
+
 /** Writes one frame without flushing and gives its size in bytes. */
-internal suspend fun ByteWriteChannel.writeFrame(frame: PeerFrame): Int {
-    val bytes = encodeCbor(frame)
-    writeInt(bytes.size)
-    writeFully(bytes)
-    return bytes.size + Int.SIZE_BYTES
+internal suspend fun ByteWriteChannel.writeFrame(frame: OutgoingFrame): Int {
+    writeInt(frame.bytes.size)
+    writeFully(frame.bytes)
+    return frame.bytes.size + Int.SIZE_BYTES
 }
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
@@ -17,15 +17,19 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 private const val OUTGOING_FRAMES = 4_096
+private val ping = OutgoingFrame(PeerFrame(PeerFrameKind.HELLO))
 
 /** One connection between own processes. */
 class PeerConnection internal constructor(private val socket: Socket, private val settings: PeerSettings) {
     private val incoming = socket.openReadChannel()
     private val outgoing = socket.openWriteChannel(autoFlush = false)
-    private val queue = Channel<PeerFrame>(OUTGOING_FRAMES)
+    private val queue = Channel<OutgoingFrame>(OUTGOING_FRAMES)
 
     /** Queues [frame]; false where the connection is closed or the queue is full, and the frame is lost. */
-    fun send(frame: PeerFrame): Boolean = queue.trySend(frame).isSuccess
+    fun send(frame: PeerFrame): Boolean = sendShared(OutgoingFrame(frame))
+
+    /** Queues [frame], which may go to others as well; false where it is lost, as above. */
+    fun sendShared(frame: OutgoingFrame): Boolean = queue.trySend(frame).isSuccess
 
     /** Reads the next frame; a silent connection gives a failure as well. */
     internal suspend fun read(): Result<PeerFrame, Failure> =
@@ -47,7 +51,7 @@
 
     /** Writes [frame] at once. */
     internal suspend fun writeNow(frame: PeerFrame) {
-        write(frame)
+        write(OutgoingFrame(frame))
         outgoing.flush()
     }
 
@@ -62,12 +66,12 @@
             val received = withTimeoutOrNull(settings.pingMilliseconds) { queue.receiveCatching() }
             open = received?.isClosed != true
             if (open) {
-                write(received?.getOrNull() ?: PeerFrame(PeerFrameKind.HELLO))
+                write(received?.getOrNull() ?: ping)
                 generateSequence { queue.tryReceive().getOrNull() }.forEach { write(it) }
                 outgoing.flush()
             }
         }
     }
 
-    private suspend fun write(frame: PeerFrame) = settings.onSent(outgoing.writeFrame(frame))
+    private suspend fun write(frame: OutgoingFrame) = settings.onSent(outgoing.writeFrame(frame))
 }
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -36,7 +36,8 @@
 
     /** Queues [frame] on every connection. */
     fun broadcast(frame: PeerFrame) {
-        connections.forEach { it.send(frame) }
+        val outgoing = OutgoingFrame(frame)
+        connections.forEach { it.sendShared(outgoing) }
     }
 
     /** Stops accepting and closes all connections. */
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -1,13 +1,13 @@
 package cassiaspindle.transport.relay
 
 import cassiaspindle.transport.peer.HostAndPort
+import cassiaspindle.transport.peer.newSelector
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldStartWith
-import cassiaspindle.transport.peer.newSelector
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
