--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -5,6 +5,7 @@
 import cassiaspindle.daemon.relay.control.ControlDesk
 import cassiaspindle.daemon.relay.control.PlacementParts
 import cassiaspindle.daemon.relay.control.PlacementRunner
+import cassiaspindle.daemon.relay.fleet.CommandLink
 import cassiaspindle.daemon.relay.fleet.FleetLink
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.LinkHandlers
@@ -108,7 +109,7 @@
         scope,
     )
     private val desk = relayDesk()
-    private val controlDesk = ControlDesk(protocol.operators, link, state, log)
+    private val controlDesk = ControlDesk(protocol.operators, link, CommandLink(link, clock.monotonicMilliseconds), state, log)
     private val discoveryDesk = DiscoveryDesk(protocol.callers, state, settings.discoveryLifetimeMilliseconds)
     private val server: RelayServer by lazy { RelayServer.start(handlers(), selector, scope) }
     private val watch = LivenessWatch(watchedExecutors(), clock.monotonicMilliseconds, log)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ConfigurationDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ConfigurationDesk.kt
@@ -1,7 +1,7 @@
 package cassiaspindle.daemon.relay.control
 
 import cassiaspindle.core.result.ResultCode
-import cassiaspindle.daemon.relay.fleet.FleetLink
+import cassiaspindle.daemon.relay.fleet.CommandLink
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.Submission
 import cassiaspindle.daemon.relay.log.EventLog
@@ -22,7 +22,7 @@
 /** Has operators' configurations stored and read by the control replicas. */
 internal class ConfigurationDesk(
     private val protocol: OperatorProtocol,
-    private val link: FleetLink,
+    private val commands: CommandLink,
     private val state: FleetState,
     private val log: EventLog,
 ) {
@@ -39,7 +39,7 @@
 
     /** Answers with the newest configuration. */
     suspend fun read(call: RelayCall) {
-        val submission = link.submit(ControlCommand(ControlCommandKind.READ_CONFIGURATION), DECISION_MILLISECONDS)
+        val submission = commands.submit(ControlCommand(ControlCommandKind.READ_CONFIGURATION), DECISION_MILLISECONDS)
         val newest = submission.outcome?.configuration
         tell("configuration_read", newest?.version, submission)
         if (newest == null) call.answerEmpty(ResultCode.CONTROL_UNREACHABLE) else call.answerJson(newest.content)
@@ -48,7 +48,7 @@
     private suspend fun store(call: RelayCall, configuration: RelayConfiguration, text: String) {
         val stored = StoredConfiguration(configuration.version, text)
         val command = ControlCommand(ControlCommandKind.APPLY_CONFIGURATION, configuration = stored)
-        val submission = link.submit(command, DECISION_MILLISECONDS)
+        val submission = commands.submit(command, DECISION_MILLISECONDS)
         val isStored = submission.outcome?.code == ResultCode.OK.number
         tell("configuration_put", stored.version, submission)
         if (isStored) state.take(stored)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ControlDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ControlDesk.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.daemon.relay.control
 
 import cassiaspindle.core.result.ResultCode
+import cassiaspindle.daemon.relay.fleet.CommandLink
 import cassiaspindle.daemon.relay.fleet.FleetLink
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.log.EventLog
@@ -19,10 +20,11 @@
 internal class ControlDesk(
     private val protocol: OperatorProtocol,
     link: FleetLink,
+    commands: CommandLink,
     state: FleetState,
     private val log: EventLog,
 ) {
-    private val configurations = ConfigurationDesk(protocol, link, state, log)
+    private val configurations = ConfigurationDesk(protocol, commands, state, log)
     private val announcements = AnnouncementDesk(link, state, log)
 
     /** Serves one call. */
--- /dev/null
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/CommandLinkTest.kt
@@ -0,0 +1,85 @@
+package cassiaspindle.daemon.relay.fleet
+
+import cassiaspindle.core.result.ResultCode
+import cassiaspindle.core.time.Clock
+import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.ControlCommandKind
+import cassiaspindle.schema.PeerFrame
+import cassiaspindle.schema.PeerFrameKind
+import cassiaspindle.transport.peer.HostAndPort
+import cassiaspindle.transport.peer.PeerConnection
+import cassiaspindle.transport.peer.PeerHandlers
+import cassiaspindle.transport.peer.PeerServer
+import cassiaspindle.transport.peer.PeerSettings
+import cassiaspindle.transport.peer.newSelector
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import java.net.ServerSocket
+import kotlin.time.Duration.Companion.seconds
+
+class CommandLinkTest : AnnotationSpec() {
+    private val connections = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val selector = newSelector()
+    private val servers = mutableListOf<PeerServer>()
+    private val command = ControlCommand(ControlCommandKind.READ_CONFIGURATION)
+
+    @AfterAll
+    fun stop() {
+        servers.forEach(PeerServer::close)
+        connections.cancel()
+        selector.close()
+    }
+
+    private fun settings(name: String) = PeerSettings(name, "key", MAXIMUM_BYTES)
+
+    /** A replica that answers commands with [code], or not at all, and names [leader]. */
+    private fun replica(code: ResultCode?, leader: String? = null): String {
+        val address = HostAndPort("127.0.0.1", ServerSocket(0).use { it.localPort })
+        val answer = { connection: PeerConnection, frame: PeerFrame ->
+            if (code != null && frame.kind == PeerFrameKind.COMMAND) {
+                val outcome = CommandOutcome(code.number)
+                val kind = PeerFrameKind.COMMAND_REPLY
+                connection.send(PeerFrame(kind, correlation = frame.correlation, outcome = outcome, leader = leader))
+            }
+        }
+        servers += PeerServer.start(address, settings(address.toString()), selector, connections, PeerHandlers(answer) {})
+        return address.toString()
+    }
+
+    private suspend fun connected(replicas: Set<String>): CommandLink {
+        val now = Clock.system.monotonicMilliseconds
+        val link = FleetLink(settings("self"), selector, connections, LinkHandlers({}, { _, _ -> }), now)
+        link.connectTo(replicas, replicas)
+        eventually(5.seconds) { link.connectedReplicas().size shouldBe replicas.size }
+        return CommandLink(link, now)
+    }
+
+    @Test
+    suspend fun `a command is decided within the time of a call while a replica that may be the leader is silent`() {
+        val leader = replica(ResultCode.OK)
+        repeat(2) {
+            val link = connected(setOf(leader, replica(code = null), replica(ResultCode.NOT_LEADER, leader)))
+            repeat(3) { link.submit(command, CALL_MILLISECONDS).outcome?.code shouldBe ResultCode.OK.number }
+        }
+    }
+
+    @Test
+    suspend fun `what nobody decided names the replica asked last and what it said`() {
+        val follower = replica(ResultCode.NOT_LEADER)
+        val submission = connected(setOf(follower)).submit(command, CALL_MILLISECONDS)
+        submission.outcome shouldBe null
+        submission.asked shouldBe follower
+        submission.undecidedCode shouldBe ResultCode.NOT_LEADER.number
+    }
+
+    private companion object {
+        const val MAXIMUM_BYTES = 1024 * 1024
+        const val CALL_MILLISECONDS = 900L
+    }
+}
