Hold several copies of a model in a large zone, and offer no chain over more than 32 runners

Cause: a chain passed all 33 runners of its zone, and a runner refuses a request whose path has more than 32 parts. Placement made one copy of the model in a zone however many runners it has, so that chains grew with the zone, and the slots of one first runner bound it.

Today's zones keep their one copy.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -109,7 +109,8 @@
         scope,
     )
     private val desk = relayDesk()
-    private val controlDesk = ControlDesk(protocol.operators, link, CommandLink(link, clock.monotonicMilliseconds), state, log)
+    private val commands = CommandLink(link, clock.monotonicMilliseconds)
+    private val controlDesk = ControlDesk(protocol.operators, link, commands, state, log)
     private val discoveryDesk = DiscoveryDesk(protocol.callers, state, settings.discoveryLifetimeMilliseconds)
     private val server: RelayServer by lazy { RelayServer.start(handlers(), selector, scope) }
     private val watch = LivenessWatch(watchedExecutors(), clock.monotonicMilliseconds, log)
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/CommandLinkTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/CommandLinkTest.kt
@@ -48,7 +48,8 @@
                 connection.send(PeerFrame(kind, correlation = frame.correlation, outcome = outcome, leader = leader))
             }
         }
-        servers += PeerServer.start(address, settings(address.toString()), selector, connections, PeerHandlers(answer) {})
+        val handlers = PeerHandlers(answer, onRefused = {})
+        servers += PeerServer.start(address, settings(address.toString()), selector, connections, handlers)
         return address.toString()
     }
 
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/LayerRange.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/LayerRange.kt
@@ -4,6 +4,9 @@
 import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
 
+/** Most runners that a request may pass through. */
+const val MOST_HOPS = 32
+
 private const val BYTES_PER_MEGABYTE = 1_000_000.0
 
 /** The layers from [first] until [end]. */
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
@@ -94,7 +94,7 @@
 
     private class State {
         val known = mutableMapOf<String, Known>()
-        val wanted = mutableMapOf<String, LayerRange>()
+        val wanted = WantedLayers()
         private var newestRunnerMilliseconds = 0L
 
         /** Whether the whole fleet has been seen once; a leader that has just begun knows only a part of it. */
@@ -111,28 +111,22 @@
             note(usable, nowMilliseconds)
             hasSettled = hasSettled || nowMilliseconds - newestRunnerMilliseconds >= SETTLED_MILLISECONDS
             if (usable.isEmpty() || !hasSettled) return emptyList()
-            if (wanted.isEmpty()) {
-                wanted += planPlacement(usable, engine)
-            } else {
-                usable.groupBy(
-                    RunnerNotice::availabilityZone
-                ).values.forEach { wanted += rebalance(it, wanted, engine) }
-            }
-            return usable.groupBy(
-                RunnerNotice::availabilityZone
-            ).values.flatMap { ordersFor(it, engine, nowMilliseconds) }
+            wanted.update(usable, engine)
+            return usable.groupBy(RunnerNotice::availabilityZone)
+                .values
+                .flatMap { ordersFor(it, engine, nowMilliseconds) }
         }
 
         private fun note(usable: List<RunnerNotice>, nowMilliseconds: Long) {
             val present = usable.associateBy(RunnerNotice::id)
             known.values.removeIf { present[it.runner.id]?.bornMilliseconds != it.runner.bornMilliseconds }
-            wanted.keys.retainAll(known.keys)
+            wanted.retain(known.keys)
             usable.forEach { runner ->
                 val before = known[runner.id]
                 if (before == null) {
                     known[runner.id] = Known(runner)
                     newestRunnerMilliseconds = nowMilliseconds
-                    runner.range()?.let { wanted[runner.id] = it }
+                    runner.range()?.let { wanted.found(runner.id, it) }
                 } else {
                     before.runner = runner
                 }
@@ -140,14 +134,14 @@
         }
 
         private fun ordersFor(
-            copy: List<RunnerNotice>,
+            zone: List<RunnerNotice>,
             engine: EngineDescription,
             nowMilliseconds: Long,
         ): List<PlacementOrder> {
-            val mayShrink = copy.all { runner -> wanted[runner.id]?.let { runner.range()?.holds(it) } ?: true }
-            return copy.mapNotNull { runner ->
+            val mayShrink = zone.all { runner -> wanted.of(runner.id)?.let { runner.range()?.holds(it) } ?: true }
+            return zone.mapNotNull { runner ->
                 val most = engine.kindOf(runner)?.let(engine::mostLayers) ?: 0
-                wanted[runner.id]
+                wanted.of(runner.id)
                     ?.let { nextRange(runner.range(), it, most, mayShrink) }
                     ?.let { orderFor(runner, it, nowMilliseconds) }
             }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementRepair.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementRepair.kt
@@ -2,6 +2,7 @@
 
 import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
+import kotlin.math.abs
 
 /** Usual requests that a runner needs room for beside a gap that it takes whole. */
 private const val USUAL_REQUESTS = 40
@@ -14,7 +15,7 @@
 }
 
 /**
- * What [runners] of one zone are to hold, given what they are [wanted] to hold; the same where nothing is missing.
+ * What [runners] of one copy are to hold, given what they are [wanted] to hold; the same where nothing is missing.
  *
  * A runner without layers takes a gap that leaves it room for tokens. Where layers are still missing, all boundaries
  * move a little, so that the room for tokens stays in proportion and every runner loads few layers. Where the memory
@@ -22,22 +23,39 @@
  */
 internal fun rebalance(
     runners: List<RunnerNotice>,
-    wanted: Map<String, LayerRange>,
+    wanted: CopyPlan,
     engine: EngineDescription,
-): Map<String, LayerRange> {
+): CopyPlan {
     val held = runners.mapNotNull { runner -> wanted[runner.id]?.let { runner.id to it } }.toMap()
     val filled = fillGaps(runners, held, engine)
     val gap = gapsOf(filled.values, engine).firstOrNull() ?: return filled
-    val inOrder = runners.sortedBy { filled[it.id]?.first ?: gap.first }
-    return planInOrder(inOrder, engine) ?: held
+    val members = runners.sortedBy { it.id !in filled }.take(MOST_HOPS)
+    return planInOrder(members.sortedBy { filled[it.id]?.first ?: gap.first }, engine) ?: held
+}
+
+/**
+ * The copies that the ranges [held] by runners of one zone make up, as a new leader finds them.
+ *
+ * There are as many as all the layers that are held would make; each range goes to the copy that ends next to it.
+ */
+internal fun copiesOf(held: CopyPlan, engine: EngineDescription): List<CopyPlan> {
+    val count = maxOf(1, (held.values.sumOf(LayerRange::size) + engine.layers / 2) / engine.layers)
+    val copies = List(count) { mutableMapOf<String, LayerRange>() }
+    val ends = IntArray(count)
+    held.entries.sortedWith(compareBy({ it.value.first }, { it.value.end })).forEach { (id, range) ->
+        val index = ends.indices.minBy { abs(ends[it] - range.first) }
+        copies[index][id] = range
+        ends[index] = maxOf(ends[index], range.end)
+    }
+    return copies
 }
 
 /** [held] with the gaps that runners without layers can take, each by the smallest one that has room beside them. */
 private fun fillGaps(
     runners: List<RunnerNotice>,
-    held: Map<String, LayerRange>,
+    held: CopyPlan,
     engine: EngineDescription,
-): Map<String, LayerRange> {
+): CopyPlan {
     val filled = held.toMutableMap()
     val needed = USUAL_REQUESTS * (engine.usualPromptTokens + engine.usualAnswerTokens)
     gapsOf(held.values, engine).sortedByDescending(LayerRange::size).forEach { gap ->
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
@@ -95,29 +95,24 @@
     private fun distanceOf(chain: LayerChain): Double =
         if (chain.first.availabilityZone == availabilityZone) 0.0 else OTHER_ZONE_FILL
 
-    /** The chain of the own zone, those of other zones, and one over all zones, as far as there are any. */
+    /** The chains of the own zone, then those of other zones; one over all zones where no zone has any. */
     private fun chainsOf(question: RouteQuestion, engine: EngineDescription): List<LayerChain> {
         val held = chains.get()[question.service]
         val revision = knowledge.runners.revision
         val isFresh = held != null && held.revision == revision &&
             question.nowMilliseconds - held.foundMilliseconds < CHAIN_LIFETIME_MILLISECONDS
         if (held != null && isFresh) return held.chains
-        val found = ZoneChains(revision, question.nowMilliseconds, findChains(question, engine))
+        val found = ZoneChains(revision, question.nowMilliseconds, newChains(question, engine))
         chains.updateAndGet { it + (question.service to found) }
         return found.chains
     }
 
-    private fun findChains(question: RouteQuestion, engine: EngineDescription): List<LayerChain> {
+    private fun newChains(question: RouteQuestion, engine: EngineDescription): List<LayerChain> {
         val trusted = usable(question).filterNot { isSuspect(it, question) }
         val zones = trusted.groupBy(RunnerNotice::availabilityZone)
-        val near = zones[availabilityZone]?.let { findChain(it, engine) }
-        val others = (zones - availabilityZone).values.mapNotNull {
-            findChain(
-                it,
-                engine
-            )
-        }.sortedBy { it.stepMilliseconds }
-        val whole = listOfNotNull(near) + others
+        val near = zones[availabilityZone].orEmpty().let { findChains(it, engine) }
+        val others = (zones - availabilityZone).values.flatMap { findChains(it, engine) }
+        val whole = near + others.sortedBy { it.stepMilliseconds }
         return whole.ifEmpty { listOfNotNull(findChain(trusted, engine)) }
     }
 
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/LayerChain.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/LayerChain.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.relay.route
 
 import cassiaspindle.relay.placement.LayerRange
+import cassiaspindle.relay.placement.MOST_HOPS
 import cassiaspindle.relay.placement.kindOf
 import cassiaspindle.relay.placement.range
 import cassiaspindle.relay.placement.roomTokens
@@ -28,7 +29,21 @@
     val first: RunnerNotice get() = hops.first().runner
 }
 
-/** The fastest chain over [runners], or null where they do not hold every layer. */
+/** Chains over [runners], the fastest first, that share no runner, as many as there are. */
+fun findChains(runners: List<RunnerNotice>, engine: EngineDescription): List<LayerChain> {
+    val chains = mutableListOf<LayerChain>()
+    var left = runners
+    var chain = findChain(left, engine)
+    while (chain != null) {
+        chains += chain
+        val used = chain.hops.map { it.runner.id }.toSet()
+        left = left.filter { it.id !in used }
+        chain = findChain(left, engine)
+    }
+    return chains
+}
+
+/** The fastest chain over [runners], or null where they do not hold every layer or it would be too long. */
 fun findChain(runners: List<RunnerNotice>, engine: EngineDescription): LayerChain? {
     val holders = runners.mapNotNull { runner -> runner.range()?.let { LayerHop(runner, it) } }
     val boundaries = (holders.flatMap { listOf(it.layers.first, it.layers.end) } + 0 + engine.layers)
@@ -41,7 +56,7 @@
             .flatMap { holder -> extensions(reached, from, holder, boundaries, engine) }
             .forEach { best.merge(it.end, it, ::cheaper) }
     }
-    return best[engine.layers]?.let { chainOf(it, engine) }
+    return best[engine.layers]?.let { chainOf(it, engine) }?.takeIf { it.hops.size <= MOST_HOPS }
 }
 
 /** The ways on from [reached] over [holder], to each later boundary that it holds. */
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/route/LayerChainTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/route/LayerChainTest.kt
@@ -46,6 +46,23 @@
         findChain(near + far, engine)?.hops?.map { it.runner.id } shouldBe listOf("a", "b")
     }
 
+    @Test
+    fun `a chain over more runners than a request may pass is not offered`() {
+        val forty = List(40) { runner("r$it").holding(it * 2, it * 2 + 2) }
+        findChain(forty, engine) shouldBe null
+        findChain(forty + runner("wide", "large").holding(0, 40), engine)?.hops?.size shouldBe 21
+    }
+
+    @Test
+    fun `each copy in a zone gives a chain of its own`() {
+        val copies = listOf("a", "b", "c").flatMap { copy ->
+            listOf(runner("${copy}1", "large").holding(0, 40), runner("${copy}2", "large").holding(40, 80))
+        }
+        val chains = findChains(copies, engine)
+        chains.size shouldBe 3
+        chains.flatMap { chain -> chain.hops.map { it.runner.id } }.distinct().size shouldBe 6
+    }
+
     private fun randomFleet(random: Random) = List(random.nextInt(3, 30)) { index ->
         val first = random.nextInt(0, 70)
         val end = minOf(80, first + random.nextInt(1, 41))
