Cut off bytes without end that are no answer, in a head or an event

Cause: each line of a head was bounded, its number of lines was not; an event without its end was kept whole however large it grew.

Now a head takes at most 64 KB and a part of a stream without a whole event at most 1 MB; what is larger counts as a broken answer, and the request goes elsewhere where it may. Callers' heads have the same bound; RelayServerTest shows the refusal.

--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
@@ -88,7 +88,8 @@
 
     /** Serves the next call; false after the last one. */
     private suspend fun serveNext(): Boolean {
-        val head = withTimeoutOrNull(IDLE_MILLISECONDS) { parseRequest(arrived) }?.use { it.toHead() } ?: return false
+        val lines = withTimeoutOrNull(IDLE_MILLISECONDS) { arrived.readHead() }
+        val head = lines?.let { parseRequest(it) }?.use { it.toHead() } ?: return false
         val framing = requestFraming(head.headers) ?: throw ParserException("the length of the body is contradictory")
         val awaitsContinue = head.headers.first("expect")?.equals("100-continue", ignoreCase = true) == true
         val body = RequestBody(framing, awaitsContinue, arrived, output)
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/EventSplitter.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/EventSplitter.kt
@@ -1,9 +1,14 @@
 package cassiaspindle.transport.relay
 
+import kotlinx.io.IOException
+
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private const val ID_FIELD = "id:"
 
+/** Largest part of a stream without a whole event, in bytes. */
+private const val MAXIMUM_EVENT_BYTES = 1024 * 1024
+
 /** One whole event of a stream: its bytes with the empty line that ends it, and its id where it has one. */
 data class StreamEvent(val bytes: ByteArray, val id: String?) {
     override fun equals(other: Any?): Boolean =
@@ -19,9 +24,10 @@
     /** Whether bytes of an event without its end are held. */
     val holdsPart: Boolean get() = pending.isNotEmpty()
 
-    /** Takes [bytes] and gives the events that are whole now. */
+    /** Takes [bytes] and gives the events that are whole now; throws [IOException] where an event is too large. */
     fun take(bytes: ByteArray): List<StreamEvent> {
         pending += bytes
+        if (pending.size > MAXIMUM_EVENT_BYTES) throw IOException("an event is larger than $MAXIMUM_EVENT_BYTES bytes")
         val events = mutableListOf<StreamEvent>()
         var start = 0
         var end = endOfEvent(start)
--- /dev/null
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/MessageHead.kt
@@ -0,0 +1,35 @@
+package cassiaspindle.transport.relay
+
+import io.ktor.http.cio.ParserException
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.charsets.MalformedInputException
+import io.ktor.utils.io.readUTF8Line
+
+/** Largest head of a message that is read, in characters. */
+private const val MAXIMUM_HEAD_CHARACTERS = 64 * 1024
+
+private const val LINE_END = "\r\n"
+
+/**
+ * The lines of the next head, ready to be parsed, or null where the connection ends before it.
+ *
+ * Throws [ParserException] where the head does not end within its limit: what sends bytes without end is cut off.
+ */
+internal suspend fun ByteReadChannel.readHead(): ByteReadChannel? {
+    val head = StringBuilder()
+    var line = readHeadLine(left = MAXIMUM_HEAD_CHARACTERS)
+    while (line != null && (line.isNotEmpty() || head.isBlank())) {
+        head.append(line).append(LINE_END)
+        line = readHeadLine(left = MAXIMUM_HEAD_CHARACTERS - head.length)
+    }
+    return line?.let { ByteReadChannel(head.trimStart().toString() + LINE_END) }
+}
+
+private suspend fun ByteReadChannel.readHeadLine(left: Int): String? {
+    if (left <= 0) throw ParserException("the head is too long")
+    return try {
+        readUTF8Line(left)
+    } catch (problem: MalformedInputException) {
+        throw ParserException("a line of the head is unreadable: ${problem.message}").initCause(problem)
+    }
+}
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -72,7 +72,8 @@
 
     /** Reads the start of the answer; throws [IOException] where there is none. */
     suspend fun readHead(): ResponseHead {
-        val response = parseResponse(input) ?: throw EOFException("the connection ended before an answer")
+        val lines = input.readHead()
+        val response = lines?.let { parseResponse(it) } ?: throw EOFException("the connection ended before an answer")
         val head = ResponseHead(response.status, response.statusText.toString(), response.headers.toList())
         response.release()
         begin(head)
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -126,8 +126,12 @@
             "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: +5\r\n\r\nhello",
             "PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
             "no request at all\r\n\r\n",
+            "GET /a HTTP/1.1\r\nX: ${"x".repeat(70_000)}\r\n\r\n",
+            "GET /a HTTP/1.1\r\n${"X: y\r\n".repeat(15_000)}\r\n",
         ).forEach { call ->
-            withClue(call) { ask(call + "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n").lines().first() shouldBe REFUSED }
+            withClue(call.take(SHOWN_CHARACTERS)) {
+                ask(call + "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n").lines().first() shouldBe REFUSED
+            }
         }
     }
 
@@ -151,6 +155,7 @@
         const val MAXIMUM_BODY_BYTES = 1024 * 1024
         const val BODY_BYTES = 150_000
         const val CALLS = 60
+        const val SHOWN_CHARACTERS = 80
         const val REFUSED = "HTTP/1.1 400 Bad Request"
     }
 }
