Tell followers of every change, wherever this process heard it first

What callers would see: requests that reach a backend server later than two seconds after its leave was acknowledged.

Cause: a process with a replica is an entry VM as well, and both parts share what it knows. Where the notice came first by the entry VM's part (its own announcement desk, or the replica that it follows), the hub found nothing new and told nobody; its followers had to wait for the repair of their lack, 0.9 to 2.4 s. When every replica told everybody, another one made up for it.

Now the hub tells its followers whatever changes what the process knows. Besides, an entry VM that follows another replica is told its lack by the leader only after 0.9 s, not at once at its first presence, which would send a whole start everything twice.

FleetHubTest (a notice heard elsewhere first) and LagTableTest (the first presence of one that follows another) failed before.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetHub.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetHub.kt
@@ -42,6 +42,10 @@
     private val followers = ConcurrentHashMap<String, FrameSend>()
     private val isListChanged = AtomicBoolean()
 
+    init {
+        state.onRunnerChange { tellFollowers(FleetNews(runners = listOf(it))) }
+    }
+
     /** Takes the presence of an entry VM, and answers one that follows, by [send], with what it lacks, if anything. */
     fun heard(presence: EntryPresence, send: FrameSend) {
         if (presences.offer(presence, surroundings.now())) isListChanged.set(true)
@@ -59,10 +63,9 @@
         news?.let { send(frameOf(it)) }
     }
 
-    /** Takes what a backend server said, or an entry VM found, and tells it on where it changes anything. */
+    /** Takes what a backend server said, or an entry VM found; followers are told of each change, heard here or not. */
     fun heard(notice: RunnerNotice) {
-        val told = if (notice.state == RunnerState.SILENT) atNewest(notice) else notice
-        if (state.take(told)) tellFollowers(FleetNews(runners = listOf(told)))
+        state.take(if (notice.state == RunnerState.SILENT) atNewest(notice) else notice)
     }
 
     /** An entry VM that finds a backend server silent has not heard its newest announcement. */
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -13,6 +13,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** What this process knows of the fleet and of the configuration. */
 class FleetState(
@@ -29,6 +30,13 @@
     /** The entry VMs. */
     val entries = EntryList()
 
+    private val changes = CopyOnWriteArrayList<(RunnerNotice) -> Unit>()
+
+    /** Has [onChange] called with each notice that changes what decisions depend on; it must not wait. */
+    fun onRunnerChange(onChange: (RunnerNotice) -> Unit) {
+        changes += onChange
+    }
+
     /** Takes [news] of a control replica. */
     fun take(news: FleetNews) {
         news.configuration?.let(::take)
@@ -48,6 +56,7 @@
                 "sequence" to notice.sequence,
                 "layers" to "${notice.firstLayer}-${notice.endLayer}",
             )
+            changes.forEach { it(notice) }
         }
         return changed
     }
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetHubTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetHubTest.kt
@@ -21,13 +21,14 @@
     private var now = 0L
     private var configuration: StoredConfiguration? = null
     private lateinit var hub: FleetHub
+    private lateinit var state: FleetState
 
     @BeforeEach
     fun begin() {
         told.clear()
         now = 0
         configuration = null
-        val state = FleetState(log, { now }) { Err(Failure(ResultCode.MALFORMED, "not read here")) }
+        state = FleetState(log, { now }) { Err(Failure(ResultCode.MALFORMED, "not read here")) }
         val surroundings = HubSurroundings(
             now = { now },
             configuration = { configuration },
@@ -81,6 +82,14 @@
         told.getValue("entry-1").mapNotNull(FleetNews::configuration).map { it.version } shouldBe listOf(3L)
     }
 
+    @Test
+    fun `followers are told what this process heard from somewhere else first`() {
+        say(1, follows = true)
+        state.take(runner(1))
+        hub.heard(runner(1))
+        told.getValue("entry-1").flatMap(FleetNews::runners).map(RunnerNotice::id) shouldBe listOf("runner-1")
+    }
+
     @Test
     fun `a follower that lacks a configuration for long is told it again`() {
         say(1, follows = true)
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/LagTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/LagTable.kt
@@ -19,7 +19,7 @@
             val held = lags[presence.name]?.takeIf { it.incarnation == presence.incarnation }
             val lag = held ?: Lag(presence.incarnation, sinceMilliseconds = null, repairedMilliseconds = null)
             val since = if (differs) lag.sinceMilliseconds ?: nowMilliseconds else null
-            val isDue = since != null && lag.isDue(since, nowMilliseconds)
+            val isDue = since != null && lag.isDue(since, nowMilliseconds, presence.follows)
             lags[presence.name] = lag.copy(
                 sinceMilliseconds = since,
                 repairedMilliseconds = if (isDue) nowMilliseconds else lag.repairedMilliseconds,
@@ -32,10 +32,11 @@
         val sinceMilliseconds: Long?,
         val repairedMilliseconds: Long?,
     ) {
-        /** One that was never told anything is told at once. */
-        fun isDue(since: Long, now: Long): Boolean = when (repairedMilliseconds) {
-            null -> true
-            else -> now - since >= LAGGING_MILLISECONDS && now - repairedMilliseconds >= REPAIR_MILLISECONDS
+        /** A follower that was never told anything is told at once. */
+        fun isDue(since: Long, now: Long, follows: Boolean): Boolean {
+            val isNew = repairedMilliseconds == null
+            val isRested = repairedMilliseconds == null || now - repairedMilliseconds >= REPAIR_MILLISECONDS
+            return (isNew && follows) || (now - since >= LAGGING_MILLISECONDS && isRested)
         }
     }
 
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/fleet/LagTableTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/fleet/LagTableTest.kt
@@ -5,7 +5,7 @@
 import io.kotest.matchers.shouldBe
 
 class LagTableTest : AnnotationSpec() {
-    private val presence = EntryPresence("one:1", incarnation = 1, "a", "one:2", ready = true)
+    private val presence = EntryPresence("one:1", incarnation = 1, "a", "one:2", ready = true, follows = true)
 
     private fun repairs(lags: LagTable, vararg steps: Pair<Long, Boolean>) =
         steps.filter { (now, differs) -> lags.isRepairDue(presence, differs, now) }.map { it.first }
@@ -16,6 +16,14 @@
         repairs(LagTable(), *steps) shouldBe listOf(0L, 1_600L, 3_200L)
     }
 
+    @Test
+    fun `an entry VM that follows another replica is repaired only if that one does not do it`() {
+        val elsewhere = presence.copy(follows = false)
+        val lags = LagTable()
+        val due = listOf(0L, 400L, 800L, 1_200L).filter { lags.isRepairDue(elsewhere, differs = true, it) }
+        due shouldBe listOf(1_200L)
+    }
+
     @Test
     fun `an entry VM whose differences pass is not repaired`() {
         val lags = LagTable()
