Serve no call of a caller that left before it was read

Callers saw: GONE, 12 requests that reached runners up to 1.7 s after their callers had left an entry VM that had not read them for a second. Cause: a connection's reader hands on bytes and then the end. A process that stood still finds both at once; the end was noticed while no call was known (or the one before, answered), so nothing was cancelled, and nobody read that connection again. Class: a state looked at once, at the moment of a change, instead of being kept. Fix: that the caller left is kept, and looked at before a call is served as well as at the end of the bytes; whichever of the two comes second sees the other. The reader gives way once before it hands bytes on, so that an end that is already there is known first.

--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
 import kotlinx.io.IOException
 import org.tinylog.kotlin.Logger
 
@@ -30,8 +31,9 @@
  * One connection of a caller, which carries one call after the other.
  *
  * Whether the caller is still there is known from the bytes of the connection alone: they are read all the time, so
- * that its end is seen at once, and a call that is not answered yet is cancelled then. That no further call can follow
- * says nothing about the caller, who may wait for the answer to the last one.
+ * that its end is seen at once, and a call that is not answered yet is cancelled then. A call that was read together
+ * with the end, as after a pause of this process, is not served at all. That no further call can follow says nothing
+ * about the caller, who may wait for the answer to the last one.
  */
 internal class CallerConnection(private val socket: Socket, private val handler: CallHandler) {
     private val incoming = socket.openReadChannel()
@@ -41,6 +43,9 @@
     @Volatile
     private var current: RelayCall? = null
 
+    @Volatile
+    private var callerLeft = false
+
     /** Serves calls until the caller leaves, or a call was the last one. */
     suspend fun serve() {
         try {
@@ -60,6 +65,9 @@
             val buffer = ByteArray(BUFFER_BYTES)
             var count = incoming.readAvailable(buffer)
             while (count >= 0) {
+                // An end that is already there is to be seen before these bytes are served.
+                yield()
+                callerLeft = incoming.isClosedForRead
                 arrived.writeFully(buffer, 0, count)
                 arrived.flush()
                 count = incoming.readAvailable(buffer)
@@ -67,6 +75,7 @@
         } catch (problem: IOException) {
             Logger.debug { "event=caller_connection_ended reason=${problem.javaClass.simpleName}" }
         }
+        callerLeft = true
         arrived.flushAndClose()
         if (current?.isAnswered == false) calls.cancel()
     }
@@ -95,6 +104,7 @@
         val body = RequestBody(framing, awaitsContinue, arrived, output)
         val call = RelayCall(head, body, output)
         current = call
+        if (callerLeft) return false
         handler(call)
         return call.isAnswered && !call.isLast && (body.isRead || body.read(MAXIMUM_REST_BYTES) != null)
     }
