Accept connections until the socket is closed: closed servers no longer keep threads busy, and none goes deaf

Stacks showed five of eight worker threads in accept of servers that were closed before, each failing at once and trying again. Cause: the loop asked whether the socket's job was cancelled; a closed socket's job is completed. A stopping entry VM so lost its threads while it served its last requests, and one without a free descriptor would have spun. The server for own processes had the opposite fault: after one failed accept it accepted nobody any more. Test: 'a server that was closed leaves nothing running' failed before (still running after 5 s); passes now.

--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -12,7 +12,6 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.io.IOException
@@ -46,18 +45,6 @@
         connections.forEach(PeerConnection::close)
     }
 
-    private suspend fun acceptAll(scope: CoroutineScope) {
-        while (scope.isActive && !socket.socketContext.isCancelled) {
-            val accepted = try {
-                socket.accept()
-            } catch (problem: IOException) {
-                Logger.debug { "event=peer_accept_ended reason=${problem.javaClass.simpleName}" }
-                return
-            }
-            scope.launch { serve(accepted) }
-        }
-    }
-
     private suspend fun serve(accepted: Socket) {
         val connection = PeerConnection(accepted, settings)
         try {
@@ -107,7 +94,7 @@
                 aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
             }
             val server = PeerServer(socket, settings, handlers)
-            scope.launch { server.acceptAll(scope) }
+            scope.launch { socket.acceptEach { accepted -> scope.launch { server.serve(accepted) } } }
             return server
         }
     }
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.transport.relay
 
 import cassiaspindle.transport.peer.HostAndPort
+import cassiaspindle.transport.peer.acceptEach
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
@@ -12,7 +13,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.plus
 import kotlinx.coroutines.runBlocking
-import kotlinx.io.IOException
 import org.tinylog.kotlin.Logger
 
 /** Serves one call; cancelled once the caller is gone. */
@@ -27,14 +27,7 @@
     }
 
     private fun accept(socket: ServerSocket, handler: CallHandler) = scope.launch {
-        while (!socket.socketContext.isCancelled) {
-            try {
-                val accepted = socket.accept()
-                scope.launch { CallerConnection(accepted, handler).serve() }
-            } catch (problem: IOException) {
-                Logger.debug { "event=caller_accept_failed reason=${problem.javaClass.simpleName}" }
-            }
-        }
+        socket.acceptEach { accepted -> scope.launch { CallerConnection(accepted, handler).serve() } }
     }
 
     /** Starting. */
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldStartWith
@@ -14,6 +15,10 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import java.net.ServerSocket
 import java.net.Socket
@@ -118,6 +123,16 @@
         broken shouldNotContain "0\r\n\r\n"
     }
 
+    @Test
+    fun `a server that was closed leaves nothing running`() {
+        val parent = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        val free = ServerSocket(0).use { it.localPort }
+        val closed = RelayServer.start(mapOf(HostAndPort("127.0.0.1", free) to ::serve), selector, parent)
+        val running = parent.coroutineContext.job.children.toList()
+        closed.close()
+        runBlocking { withTimeoutOrNull(5_000) { running.joinAll() } } shouldNotBe null
+    }
+
     @Test
     fun `a request whose end is not certain is refused and its connection closed`() {
         listOf(
