--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnections.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnections.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.transport.peer.HostAndPort
 import io.ktor.http.cio.ParserException
 import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
@@ -36,16 +37,21 @@
         return kept
     }
 
-    /** Opens a connection to [address]; throws [IOException] where that fails or takes too long. */
+    /** Opens a connection to [address]; throws [IOException] where that fails, takes too long or is no address. */
     suspend fun open(address: String): RunnerConnection {
-        val target = HostAndPort.parse(address)
-        val socket = withTimeoutOrNull(CONNECT_MILLISECONDS) {
-            aSocket(selector).tcp().connect(target.host, target.port) { noDelay = true }
-        } ?: throw IOException("no connection to $address within $CONNECT_MILLISECONDS ms")
+        val socket = withTimeoutOrNull(CONNECT_MILLISECONDS) { connect(address) }
+            ?: throw IOException("no connection to $address within $CONNECT_MILLISECONDS ms")
         openedCount.incrementAndGet()
         return RunnerConnection(socket, address)
     }
 
+    private suspend fun connect(address: String): Socket = try {
+        val target = HostAndPort.parse(address)
+        aSocket(selector).tcp().connect(target.host, target.port) { noDelay = true }
+    } catch (problem: IllegalArgumentException) {
+        throw IOException("$address is no address", problem)
+    }
+
     /** Keeps [connection] after an exchange; the backend server closes it after [idleMilliseconds]. */
     fun keep(connection: RunnerConnection, idleMilliseconds: Long) {
         val usable = idleMilliseconds * USABLE_PERCENT / PERCENT
