Believe a refusal only where it is certain to belong to the request

Other operators saw 'not run, try again' for requests that a runner had run, after a faulty runner had written an earlier refusal once more on a kept connection. Shown here: one without a request id was taken for the answer to the request at hand (503 to the caller where 502 is due, for an order that the runner had read). Class: an answer matched by its place on a connection. Fix: an answer that names no request counts only on a connection that carried no exchange before; elsewhere the request may have run. One with another request's id was not believed before either. Test: FaultyRunnerTest, 'a refusal that names no request on a kept connection ...' failed before (503 for 502), passes now.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -105,6 +105,7 @@
         val answer = protocol.readAnswer(wait.forValue { connection.readHead() })
         return when {
             answer.requestId != null && answer.requestId != sending.request.id -> broken(sending, "foreign_answer")
+            answer.requestId == null && !connection.isFirstExchange -> broken(sending, "answer_for_no_request")
             answer.isSuccess && !answer.isTrustworthy -> broken(sending, "unsigned_success")
             answer.isSuccess && answer.isEventStream -> startStream(OpenAnswer(answer, connection, wait), sending)
             else -> readWhole(connection, answer, sending)
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -49,17 +49,23 @@
     private var framing: Framing = Framing.Length(0)
     private var decoded: ByteReadChannel? = null
     private var readBytes = 0L
+    private var exchanges = 0
     private val buffer = ByteArray(BUFFER_BYTES)
 
     /** Whether the whole body was read and the connection may carry another exchange. */
     var isDone = false
         private set
 
+    /** Whether the exchange under way is the first one: what arrives can't belong to an earlier one. */
+    var isFirstExchange = true
+        private set
+
     /** Whether bytes came, or the end, while no answer was due. */
     val isSpoiled: Boolean get() = input.isClosedForRead || input.availableForRead > 0
 
     /** Sends [request]; throws [IOException] where the connection is broken. */
     suspend fun send(request: WholeRequest) {
+        isFirstExchange = exchanges++ == 0
         isDone = false
         val builder = RequestResponseBuilder()
         builder.requestLine(HttpMethod(request.head.method), request.head.target, HTTP_VERSION)
