Let nothing but events follow in a stream that has begun

Other operators saw the text of an error, at times its whole head, in the middle of a stream, or a stream that ended as if it were complete. Shown here: where the second runner of a stream that broke off answered with an error or a whole success, its head and text went into the open stream, which then got its last chunk. Class: written without a look at what was written before. Fix: a whole answer is handed on only before a stream has begun; after that the stream is broken off. Test: FaultyRunnerTest, 'nothing but events follows in a stream that has begun' failed before ('HTTP/1.1' in the stream), passes now for an error, a refusal, a whole success and a gateway error.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -81,7 +81,9 @@
         }
     }
 
+    /** Answers with what the backend server said; in a stream that has begun only events may follow. */
     private suspend fun deliver(attempt: Attempt.Whole, choice: RouteChoice): NextStep? {
+        if (write != null) return NextStep.BreakOff
         call.answerWhole(relaying.headOf(attempt.answer), attempt.body)
         return answered(choice, "status" to attempt.answer.status)
     }
