Pack configurations where they are stored and sent, and acknowledge at once what is in force

Callers saw: GONE, since an entry VM with a control replica did not read them for a second; operators got no clear answer to a configuration with 1,440 more routes. Each step carries the whole text: the log to five replicas, news to followers, repairs of a lack after 0.9 s, and each resend by the operator through the log again. Class: work without a bound; it grows with the size of a message times its receivers, on the path of heartbeats. Fix: the text is packed once by the process that takes it (configurations repeat themselves), stored, sent and kept so, and unpacked where it is read; what is not higher than the version in force is acknowledged without a decision. Text from a log written before is read as it is; packed text has a bound when it is unpacked. Test: PackedTextTest (1,440 routes in less than a fifth).

--- /dev/null
+++ b/codec/src/test/kotlin/cassiaspindle/codec/PackedTextTest.kt
@@ -0,0 +1,40 @@
+package cassiaspindle.codec
+
+import cassiaspindle.core.result.ResultCode
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+
+class PackedTextTest : AnnotationSpec() {
+    private val random = Random(1)
+
+    private val configuration = List(1_440) { index ->
+        """{"Name":"r-${word()}","Host":"${word()}.example","PathPrefix":"/${word()}/","Kind":"streaming","TimeoutMs":20000,
+        "TargetLatencyMs":500,"Priority":1,"Service":"huvo11a","MaxAttempts":2,"AllowAnonymous":false,"No":$index}"""
+    }.joinToString(",", "[", "]")
+
+    private fun word() = List(7) { 'a' + random.nextInt(26) }.joinToString("")
+
+    @Test
+    fun `a configuration of 1,440 routes is packed to less than a fifth and comes back as it was`() {
+        val packed = packText(configuration)
+        packed.length shouldBeLessThan configuration.length / 5
+        unpackText(packed, configuration.length).get() shouldBe configuration
+    }
+
+    @Test
+    fun `text that was stored before there was packing is read as it is`() {
+        unpackText("{\"Version\":1}", maximumBytes = 100).get() shouldBe "{\"Version\":1}"
+    }
+
+    @Test
+    fun `text that is too long or damaged is refused`() {
+        val packed = packText("x".repeat(1_000_000))
+        unpackText(packed, maximumBytes = 1_000).getError()?.code shouldBe ResultCode.MALFORMED
+        unpackText(packed.dropLast(40), maximumBytes = 1_000_000).getError()?.code shouldBe ResultCode.MALFORMED
+        unpackText("deflate:?", maximumBytes = 1_000).getError()?.code shouldBe ResultCode.MALFORMED
+    }
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ConfigurationDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ConfigurationDesk.kt
@@ -1,8 +1,11 @@
 package cassiaspindle.daemon.relay.control
 
+import cassiaspindle.codec.packText
+import cassiaspindle.codec.unpackText
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.daemon.relay.fleet.CommandLink
 import cassiaspindle.daemon.relay.fleet.FleetState
+import cassiaspindle.daemon.relay.fleet.MAXIMUM_CONFIGURATION_BYTES
 import cassiaspindle.daemon.relay.fleet.Submission
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.daemon.relay.protocol.OperatorProtocol
@@ -13,6 +16,7 @@
 import cassiaspindle.schema.StoredConfiguration
 import cassiaspindle.transport.relay.RelayCall
 import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 
@@ -41,12 +45,20 @@
     suspend fun read(call: RelayCall) {
         val submission = commands.submit(ControlCommand(ControlCommandKind.READ_CONFIGURATION), DECISION_MILLISECONDS)
         val newest = submission.outcome?.configuration
+        val content = newest?.let { unpackText(it.content, MAXIMUM_CONFIGURATION_BYTES).get() }
         tell("configuration_read", newest?.version, submission)
-        if (newest == null) call.answerEmpty(ResultCode.CONTROL_UNREACHABLE) else call.answerJson(newest.content)
+        if (content == null) call.answerEmpty(ResultCode.CONTROL_UNREACHABLE) else call.answerJson(content)
     }
 
+    /** What is in force here was stored: a version that is not higher changes nothing and needs no decision. */
     private suspend fun store(call: RelayCall, configuration: RelayConfiguration, text: String) {
-        val stored = StoredConfiguration(configuration.version, text)
+        val inForce = state.configuration.version
+        if (configuration.version <= inForce) {
+            log.write("configuration_put", "version" to configuration.version, "in_force" to inForce)
+            call.answerEmpty(ResultCode.OK)
+            return
+        }
+        val stored = StoredConfiguration(configuration.version, packText(text))
         val command = ControlCommand(ControlCommandKind.APPLY_CONFIGURATION, configuration = stored)
         val submission = commands.submit(command, DECISION_MILLISECONDS)
         val isStored = submission.outcome?.code == ResultCode.OK.number
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.daemon.relay.fleet
 
+import cassiaspindle.codec.unpackText
 import cassiaspindle.core.result.Failure
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.relay.configuration.ConfigurationInForce
@@ -11,10 +12,14 @@
 import cassiaspindle.schema.RunnerNotice
 import cassiaspindle.schema.StoredConfiguration
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import java.util.concurrent.CopyOnWriteArrayList
 
+/** Largest configuration, unpacked, in bytes. */
+internal const val MAXIMUM_CONFIGURATION_BYTES = 16 * 1024 * 1024
+
 /** What this process knows of the fleet and of the configuration. */
 class FleetState(
     private val log: EventLog,
@@ -64,7 +69,7 @@
     /** Puts [stored] in force where it is newer. */
     fun take(stored: StoredConfiguration) {
         if (stored.version <= configuration.version) return
-        readConfiguration(stored.content)
+        unpackText(stored.content, MAXIMUM_CONFIGURATION_BYTES).flatMap(readConfiguration)
             .onSuccess {
                 val isNewer = configuration.offer(RouteTable(it))
                 if (isNewer) log.write("configuration_in_force", "version" to it.version)
