--- a/codec/src/main/kotlin/cassiaspindle/codec/PackedText.kt
+++ b/codec/src/main/kotlin/cassiaspindle/codec/PackedText.kt
@@ -15,7 +15,7 @@
 /** What packed text begins with; text without it was stored before there was packing. */
 private const val PREFIX = "deflate:"
 
-/** Packs [text], which repeats itself as configurations do, so that it is stored and sent in a small part of its size. */
+/** Packs [text], which repeats itself as configurations do, so that it is stored and sent in a small part. */
 fun packText(text: String): String {
     val packed = ByteArrayOutputStream()
     val deflater = Deflater(Deflater.BEST_SPEED)
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
@@ -104,8 +104,7 @@
         val body = RequestBody(framing, awaitsContinue, arrived, output)
         val call = RelayCall(head, body, output)
         current = call
-        if (callerLeft) return false
-        handler(call)
+        if (!callerLeft) handler(call)
         return call.isAnswered && !call.isLast && (body.isRead || body.read(MAXIMUM_REST_BYTES) != null)
     }
 
