Count repeats over the window that limits them, instead of saving up a few

Callers saw streams broken off after a loss though repeats were left: at an entry VM that shares the reserve with 78 others no more than 3 repeats could be saved up (0.7 x 342 / 79), whatever its requests had earned, and one loss of four runners breaks some six of its ten streams. Fix: requests and repeats are counted over the window of the settings; a repeat is granted while the repeats of the window stay within 0.85 of the ratio times its requests and this entry VM's share of the reserve. Test: 50 random series of requests and repeats; no window holds more repeats than allowed.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -22,6 +22,7 @@
 import cassiaspindle.daemon.relay.request.RequestRelay
 import cassiaspindle.daemon.relay.request.StallWatch
 import cassiaspindle.relay.request.RetryBudget
+import cassiaspindle.relay.request.RetryLimits
 import cassiaspindle.relay.route.BackEndChoice
 import cassiaspindle.relay.route.LoadTable
 import cassiaspindle.relay.route.RouteKnowledge
@@ -198,7 +199,9 @@
                 ),
                 suspicions = suspicions,
                 loads = loads,
-                budget = RetryBudget(settings.repeatRatio, settings.repeatReserve) { state.entries.entries.size },
+                budget = RetryBudget(
+                    RetryLimits(settings.repeatRatio, settings.repeatReserve, settings.repeatWindowMilliseconds),
+                ) { state.entries.entries.size },
                 protocol = protocol.callers,
                 log = log,
                 metrics = metrics,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -139,7 +139,7 @@
         if (attempt.failure == AttemptFailure.NotSent) attempts--
         attempt.faultAt?.let { parts.blame(it, isLost = attempt.isStalled) }
         val reached = situation
-        val step = afterFailure(attempt.failure, reached) { parts.budget.spend(admitted.service) }
+        val step = afterFailure(attempt.failure, reached) { parts.budget.spend(admitted.service, parts.now()) }
         lines.failed(attempt, choice, reached, step)
         val own = attempt.answer.takeIf { step is NextStep.GiveUp && !notRun }
         return if (own == null) step else deliver(own, choice)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
@@ -35,7 +35,7 @@
 internal class RequestRelay(private val parts: RelayParts) {
     /** Relays [admitted] with its [body] and answers [call]. */
     suspend fun relay(call: RelayCall, admitted: Admitted, body: ByteArray, closing: List<Header>) {
-        parts.budget.earn(admitted.service)
+        parts.budget.earn(admitted.service, parts.now())
         RelayRun(parts, call, Relaying(admitted, body, closing, parts.now())).run()
     }
 }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/request/AttemptDecisionTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/request/AttemptDecisionTest.kt
@@ -8,6 +8,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import kotlin.random.Random
 
 class AttemptDecisionTest : AnnotationSpec() {
     private val read = orderRoute.copy(kind = RelayRouteKind.IDEMPOTENT)
@@ -68,11 +69,36 @@
 
     @Test
     fun `a budget runs out and is earned again by requests`() {
-        val budget = RetryBudget(ratio = 0.2, reserve = 60.0, entries = { 60 })
-        budget.spend("s") shouldBe true
-        budget.spend("s") shouldBe false
-        repeat(11) { budget.earn("s") }
-        budget.spend("s") shouldBe true
-        budget.spend("other") shouldBe true
+        val budget = RetryBudget(RetryLimits(ratio = 0.2, reserve = 60.0, windowMilliseconds = 10_000)) { 60 }
+        budget.spend("s", nowMilliseconds = 0) shouldBe true
+        budget.spend("s", nowMilliseconds = 0) shouldBe false
+        repeat(11) { budget.earn("s", nowMilliseconds = 1_000) }
+        budget.spend("s", nowMilliseconds = 1_000) shouldBe true
+        budget.spend("other", nowMilliseconds = 1_000) shouldBe true
+    }
+
+    @Test
+    fun `no window holds more repeats than its requests and the shared reserve allow, however they come`() {
+        repeat(50) { seed ->
+            val random = Random(seed)
+            val budget = RetryBudget(RetryLimits(ratio = 0.2, reserve = 300.0, windowMilliseconds = 10_000)) { 30 }
+            val requests = mutableListOf<Long>()
+            val repeats = mutableListOf<Long>()
+            var now = 0L
+            repeat(3_000) {
+                now += random.nextLong(0, if (now / 15_000 % 2 == 0L) 20 else 200)
+                if (random.nextBoolean()) {
+                    budget.earn("s", now)
+                    requests += now
+                } else if (budget.spend("s", now)) {
+                    repeats += now
+                }
+            }
+            repeats.forEach { end ->
+                val window = end - 10_000..end
+                val allowed = 0.2 * requests.count { it in end - 11_000..end } + 300.0 / 30
+                withClue("seed $seed, window until $end") { (repeats.count { it in window } <= allowed) shouldBe true }
+            }
+        }
     }
 }
