Have several runners of a large zone hold each layer alike, so that a loss moves nobody

Callers saw: SHORT on the grown sites. Four lost runners of 98 broke two or three of five chains; repair moved all boundaries of a copy (47 orders taken, 55 refused), each runner accepting nothing in the layers that it gave up; the zone had not recovered when the next loss came. Cause: the copies of a model in a zone had boundaries of their own, so that no runner of one could stand in for one of another. Fix: stages with the same boundaries for all their holders (decision record 12); a returning or spare runner takes the place that lacks one, only a stage without any holder takes one from another.

--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementPlan.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementPlan.kt
@@ -5,53 +5,39 @@
 import cassiaspindle.schema.RunnerNotice
 import kotlin.math.floor
 
-/** Memory that a copy is given, as a multiple of its weights: the rest is for tokens. */
-private const val MEMORY_PER_WEIGHTS = 2.0
-
-/** Which layers each runner of one copy of the model is to hold, by the name of the runner. */
+/** Which layers each runner is to hold, by the name of the runner. */
 typealias CopyPlan = Map<String, LayerRange>
 
 /**
- * The copies that [runners] are to hold: in each zone as many as its memory holds well, else one over all zones.
+ * What [runners] are to hold: in each zone every layer as often as its memory holds it well, or once over all zones
+ * where no zone holds a copy.
  *
  * Layers go in proportion to memory, so that the room for tokens runs out everywhere at the same time. Faster runners
- * come first in a chain. Several copies in a zone make shorter chains and take more requests at once.
+ * come first in a chain.
  */
-fun planPlacement(runners: List<RunnerNotice>, engine: EngineDescription): List<CopyPlan> {
-    val plans = runners.groupBy(RunnerNotice::availabilityZone).values.flatMap { planZone(it, engine) }
-    return plans.ifEmpty { listOfNotNull(planCopy(runners, engine)) }
-}
-
-private fun planZone(runners: List<RunnerNotice>, engine: EngineDescription): List<CopyPlan> {
-    val plans = deal(runners, copiesIn(runners, engine), engine).map { planCopy(it, engine) }
-    return if (plans.all { it != null }) plans.filterNotNull() else listOfNotNull(planCopy(runners, engine))
+fun planPlacement(runners: List<RunnerNotice>, engine: EngineDescription): CopyPlan {
+    val zones = runners.groupBy(RunnerNotice::availabilityZone).values.mapNotNull { planZone(it, engine) }
+    val plans = zones.ifEmpty { listOfNotNull(planCopy(runners, engine)) }
+    return plans.fold(emptyMap()) { all, plan -> all + plan }
 }
 
-private fun copiesIn(runners: List<RunnerNotice>, engine: EngineDescription): Int {
-    val memory = runners.sumOf { engine.kindOf(it)?.memoryMegabytes ?: 0.0 }
-    val perCopy = engine.layers * engine.layerMegabytes * MEMORY_PER_WEIGHTS
-    return maxOf(1, floor(memory / perCopy).toInt())
+/** What [runners] of one zone are to hold, or null where their memory does not hold a copy. */
+internal fun planZone(runners: List<RunnerNotice>, engine: EngineDescription): CopyPlan? {
+    val holders = holdersPerLayer(runners, engine)
+    val stages = if (holders > 1) planStages(runners, holders, engine) else null
+    return stages ?: planCopy(runners, engine)
 }
 
-/** [runners] dealt out to [copies] groups, large ones first, to and fro, so that the groups are alike. */
-private fun deal(runners: List<RunnerNotice>, copies: Int, engine: EngineDescription): List<List<RunnerNotice>> {
-    val largeFirst = runners.sortedWith(largeFirst(engine))
-    val groups = List(copies) { mutableListOf<RunnerNotice>() }
-    largeFirst.chunked(copies).forEachIndexed { round, runnersOfRound ->
-        val turn = if (round % 2 == 0) groups else groups.reversed()
-        runnersOfRound.forEachIndexed { index, runner -> turn[index] += runner }
-    }
-    return groups
-}
-
-private fun largeFirst(engine: EngineDescription) =
+internal fun largeFirst(engine: EngineDescription) =
     compareBy<RunnerNotice>({ -(engine.kindOf(it)?.memoryMegabytes ?: 0.0) }, { engine.kindOf(it)?.pace }, { it.id })
 
+internal fun fastFirst(engine: EngineDescription) =
+    compareBy<RunnerNotice>({ engine.kindOf(it)?.pace }, { engine.kindOf(it)?.readFactor }, { it.id })
+
 /** One copy of all layers over [runners], fast ones first, or null where their memory does not hold it. */
 internal fun planCopy(runners: List<RunnerNotice>, engine: EngineDescription): CopyPlan? {
-    val fastFirst = compareBy<RunnerNotice>({ engine.kindOf(it)?.pace }, { engine.kindOf(it)?.readFactor }, { it.id })
     val members = runners.sortedWith(largeFirst(engine)).take(MOST_HOPS)
-    return planInOrder(members.sortedWith(fastFirst), engine)
+    return planInOrder(members.sortedWith(fastFirst(engine)), engine)
 }
 
 /** One copy of all layers over [runners] in this order, or null where their memory does not hold it. */
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementRepair.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementRepair.kt
@@ -1,12 +1,16 @@
 package cassiaspindle.relay.placement
 
+import cassiaspindle.schema.AcceleratorKind
 import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
-import kotlin.math.abs
 
 /** Usual requests that a runner needs room for beside a gap that it takes whole. */
 private const val USUAL_REQUESTS = 40
 
+/** Whether a runner of [kind] that holds so many [layers] has room for the requests that usually run at once. */
+internal fun EngineDescription.hasRoomBeside(kind: AcceleratorKind, layers: Int): Boolean =
+    roomTokens(kind, layers) >= USUAL_REQUESTS * (usualPromptTokens + usualAnswerTokens)
+
 /** The layers of [engine] that no range in [held] covers, as runs. */
 internal fun gapsOf(held: Collection<LayerRange>, engine: EngineDescription): List<LayerRange> {
     val missing = (0 until engine.layers).filter { layer -> held.none { layer in it } }
@@ -33,23 +37,6 @@
     return planInOrder(members.sortedBy { filled[it.id]?.first ?: gap.first }, engine) ?: held
 }
 
-/**
- * The copies that the ranges [held] by runners of one zone make up, as a new leader finds them.
- *
- * There are as many as all the layers that are held would make; each range goes to the copy that ends next to it.
- */
-internal fun copiesOf(held: CopyPlan, engine: EngineDescription): List<CopyPlan> {
-    val count = maxOf(1, (held.values.sumOf(LayerRange::size) + engine.layers / 2) / engine.layers)
-    val copies = List(count) { mutableMapOf<String, LayerRange>() }
-    val ends = IntArray(count)
-    held.entries.sortedWith(compareBy({ it.value.first }, { it.value.end })).forEach { (id, range) ->
-        val index = ends.indices.minBy { abs(ends[it] - range.first) }
-        copies[index][id] = range
-        ends[index] = maxOf(ends[index], range.end)
-    }
-    return copies
-}
-
 /** [held] with the gaps that runners without layers can take, each by the smallest one that has room beside them. */
 private fun fillGaps(
     runners: List<RunnerNotice>,
@@ -57,11 +44,10 @@
     engine: EngineDescription,
 ): CopyPlan {
     val filled = held.toMutableMap()
-    val needed = USUAL_REQUESTS * (engine.usualPromptTokens + engine.usualAnswerTokens)
     gapsOf(held.values, engine).sortedByDescending(LayerRange::size).forEach { gap ->
         runners.filter { it.id !in filled }
             .mapNotNull { runner -> engine.kindOf(runner)?.let { runner to it } }
-            .filter { (_, kind) -> engine.roomTokens(kind, gap.size) >= needed }
+            .filter { (_, kind) -> engine.hasRoomBeside(kind, gap.size) }
             .minByOrNull { (_, kind) -> kind.memoryMegabytes }
             ?.let { (runner, _) -> filled[runner.id] = gap }
     }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/WantedLayers.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/WantedLayers.kt
@@ -2,19 +2,18 @@
 
 import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
+import kotlin.math.roundToInt
 
-/** What each runner of one service is to hold, by availability zone and copy. */
+/** What each runner of one service is to hold, by availability zone. */
 internal class WantedLayers {
-    private val zones = mutableMapOf<String, List<CopyPlan>>()
+    private val zones = mutableMapOf<String, ZonePlan>()
     private val reported = mutableMapOf<String, LayerRange>()
 
     /** Whether nothing is planned and nothing was found. */
-    val isEmpty: Boolean get() = zones.values.all { it.all(CopyPlan::isEmpty) } && reported.isEmpty()
+    val isEmpty: Boolean get() = zones.values.all { it.ranges.isEmpty() } && reported.isEmpty()
 
     /** What the runner called [id] is to hold, or null. */
-    fun of(id: String): LayerRange? = zones.values.firstNotNullOfOrNull { copies ->
-        copies.firstNotNullOfOrNull { it[id] }
-    }
+    fun of(id: String): LayerRange? = zones.values.firstNotNullOfOrNull { it.ranges[id] }
 
     /** Takes over what a runner was found to hold. */
     fun found(id: String, range: LayerRange) {
@@ -23,21 +22,17 @@
 
     /** Forgets runners other than those called [ids]. */
     fun retain(ids: Set<String>) {
-        zones.replaceAll { _, copies -> copies.map { plan -> plan.filterKeys { it in ids } } }
+        zones.replaceAll { _, plan -> plan.copy(ranges = plan.ranges.filterKeys { it in ids }) }
         reported.keys.retainAll(ids)
     }
 
-    /** Plans for all [runners] where nothing is planned yet, else mends the copies that miss something. */
+    /** Plans for all [runners] where nothing is planned yet, else mends what misses something. */
     fun update(runners: List<RunnerNotice>, engine: EngineDescription) {
-        val byZone = runners.groupBy(RunnerNotice::availabilityZone)
-        if (isEmpty) {
-            val plans = planPlacement(runners, engine)
-            byZone.forEach { (zone, members) ->
-                val ids = members.map(RunnerNotice::id).toSet()
-                zones[zone] = plans.map { plan -> plan.filterKeys { it in ids } }.filter(CopyPlan::isNotEmpty)
-            }
-        } else {
-            byZone.forEach { (zone, members) -> zones[zone] = mend(members, copiesIn(zone, members, engine), engine) }
+        val isFirst = isEmpty
+        val first = if (isFirst) planPlacement(runners, engine) else emptyMap()
+        runners.groupBy(RunnerNotice::availabilityZone).forEach { (zone, members) ->
+            val ranges = members.mapNotNull { runner -> first[runner.id]?.let { runner.id to it } }.toMap()
+            zones[zone] = if (isFirst) ZonePlan(ranges, holdersIn(ranges, engine)) else mend(zone, members, engine)
         }
         reported.clear()
     }
@@ -48,33 +43,28 @@
         reported.clear()
     }
 
-    /** The copies of [zone]; those that only runners tell of are found from what they hold. */
-    private fun copiesIn(zone: String, members: List<RunnerNotice>, engine: EngineDescription): List<CopyPlan> {
-        val planned = zones[zone].orEmpty().filter(CopyPlan::isNotEmpty)
-        val known = planned.flatMap { it.keys }.toSet()
+    /** How many runners hold each layer goes by the plan, or by what a new leader finds. */
+    private fun mend(zone: String, members: List<RunnerNotice>, engine: EngineDescription): ZonePlan {
         val found = members.mapNotNull { runner -> reported[runner.id]?.let { runner.id to it } }.toMap()
+        val planned = zones[zone]
+        val held = found + planned?.ranges.orEmpty()
+        val holders = planned?.holders ?: holdersIn(held, engine)
         return when {
-            planned.isNotEmpty() -> adopt(planned, found - known)
-            found.isNotEmpty() -> copiesOf(found, engine)
-            else -> planPlacement(members, engine)
+            held.isEmpty() -> planAnew(members, engine)
+            holders == 1 -> ZonePlan(rebalance(members, held, engine), holders)
+            else -> mendStages(members, held, holders, engine)?.let { ZonePlan(it, holders) }
+                ?: planAnew(members, engine)
         }
     }
 
-    /** A runner that comes back with layers goes on in the first copy; what it holds twice is given up there. */
-    private fun adopt(planned: List<CopyPlan>, found: CopyPlan): List<CopyPlan> =
-        listOf(planned.first() + found) + planned.drop(1)
-
-    /** Runners without layers go to the first copy that needs them. */
-    private fun mend(
-        members: List<RunnerNotice>,
-        copies: List<CopyPlan>,
-        engine: EngineDescription,
-    ): List<CopyPlan> {
-        val free = members.filter { runner -> copies.none { runner.id in it } }.toMutableList()
-        return copies.map { copy ->
-            val mended = rebalance(members.filter { it.id in copy } + free, copy, engine)
-            free.removeAll { it.id in mended }
-            mended
-        }
+    private fun planAnew(members: List<RunnerNotice>, engine: EngineDescription): ZonePlan {
+        val ranges = planZone(members, engine).orEmpty()
+        return ZonePlan(ranges, holdersIn(ranges, engine))
     }
+
+    private fun holdersIn(ranges: CopyPlan, engine: EngineDescription): Int =
+        maxOf(1, (ranges.values.sumOf(LayerRange::size).toDouble() / engine.layers).roundToInt())
+
+    /** What the runners of a zone are to hold, and how many of them each layer. */
+    private data class ZonePlan(val ranges: CopyPlan, val holders: Int)
 }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/Samples.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/Samples.kt
@@ -31,6 +31,7 @@
     state = RunnerState.READY,
     bornMilliseconds = 1,
     sequence = 1,
+    slots = 134,
     kind = kind,
 )
 
--- /dev/null
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/StagePlanTest.kt
@@ -0,0 +1,157 @@
+package cassiaspindle.relay.placement
+
+import cassiaspindle.relay.engine
+import cassiaspindle.relay.route.findChain
+import cassiaspindle.relay.runner
+import cassiaspindle.schema.RunnerNotice
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import kotlin.random.Random
+
+class StagePlanTest : AnnotationSpec() {
+    private val zone =
+        listOf(runner("l1", "large")) + List(4) { runner("m$it", "middle") } + List(30) { runner("s$it") }
+
+    private fun holding(runners: List<RunnerNotice>, plan: CopyPlan) = runners.map { runner ->
+        plan[runner.id]?.let { runner.copy(firstLayer = it.first, endLayer = it.end) } ?: runner
+    }
+
+    private fun holdersOf(plan: CopyPlan) = (0 until engine.layers).map { layer -> plan.values.count { layer in it } }
+
+    private fun mended(runners: List<RunnerNotice>, held: CopyPlan) = checkNotNull(mendStages(runners, held, 2, engine))
+
+    @Test
+    fun `a zone with many runners holds each layer twice, in stages alike, with room for tokens`() {
+        val plan = planPlacement(zone, engine)
+        val stages = stagesOf(plan.values, engine)
+        stages.size shouldBeLessThanOrEqual MOST_HOPS
+        holdersOf(plan).drop(stages.first().size).distinct() shouldBe listOf(2)
+        stages.drop(1).map { stage -> plan.values.count { it == stage } }.distinct() shouldBe listOf(2)
+        plan.forEach { (id, range) ->
+            val kind = checkNotNull(engine.kindOf(zone.first { it.id == id }))
+            engine.roomTokens(kind, range.size) shouldBeGreaterThan 30_000
+        }
+    }
+
+    @Test
+    fun `the first stage has as many holders as the requests need that the others have room for`() {
+        val plan = planPlacement(zone, engine)
+        val stages = stagesOf(plan.values, engine)
+        val rooms = stages.drop(1).map { stage ->
+            plan.filterValues { it == stage }.keys.sumOf { id ->
+                engine.roomTokens(checkNotNull(engine.kindOf(zone.first { it.id == id })), stage.size)
+            }
+        }
+        val requests = rooms.min() / (engine.usualPromptTokens + engine.usualAnswerTokens)
+        plan.values.count { it == stages.first() } * 134 shouldBeGreaterThanOrEqual requests
+    }
+
+    @Test
+    fun `the loss of any runner leaves the zone a chain and moves nobody`() {
+        val plan = planPlacement(zone, engine)
+        plan.keys.forEach { lost ->
+            val left = zone.filter { it.id != lost }
+            withClue(lost) {
+                findChain(holding(left, plan), engine) shouldNotBe null
+                val after = mended(left, plan - lost)
+                (plan - lost).forEach { (id, range) -> after.getValue(id) shouldBe range }
+            }
+        }
+    }
+
+    @Test
+    fun `a runner that comes back takes the place that lacks a holder`() {
+        val plan = planPlacement(zone, engine)
+        val after = mended(zone, plan - "s3")
+        after.getValue("s3") shouldBe plan.getValue("s3")
+        after.filterKeys { it in plan } shouldBe plan
+    }
+
+    @Test
+    fun `a stage without any holder gets some of stages that keep enough, and nobody else moves`() {
+        val plan = planPlacement(zone, engine)
+        stagesOf(plan.values, engine).forEach { stage ->
+            val lost = plan.filterValues { it == stage }.keys
+            val spare = zone.filter { it.id !in plan }.map { it.id }
+            val left = zone.filter { it.id !in lost && it.id !in spare }
+            val after = mended(left, plan - lost)
+            withClue(stage) {
+                gapsOf(after.values, engine).shouldBeEmpty()
+                after.filter { (id, range) -> plan[id] != range }.values.toSet() shouldBe setOf(stage)
+                val spared = after.keys.filter { after[it] != plan[it] }.map { plan[it] }
+                spared.groupingBy { it }.eachCount().forEach { (from, count) ->
+                    after.values.count { it == from } shouldBeGreaterThanOrEqual minOf(2, count)
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `a spare runner is kept for the next loss and takes its place then`() {
+        val plan = planPlacement(zone, engine)
+        val spare = runner("spare", "middle")
+        val free = zone.filter { it.id !in plan }
+        val others = zone - free.toSet()
+        mended(others + spare, plan) shouldBe plan
+        mended(others + spare - others.first { it.id == "s3" }, plan - "s3")["spare"] shouldBe plan.getValue("s3")
+    }
+
+    @Test
+    fun `further runners hold what has the least room`() {
+        val plan = planPlacement(zone, engine)
+        val more = List(3) { runner("t$it", "middle") }
+        val after = mended(zone + more, plan)
+        after.size shouldBeGreaterThan plan.size
+        plan.forEach { (id, range) -> after.getValue(id) shouldBe range }
+    }
+
+    @Test
+    fun `stages are found again from what runners hold`() {
+        val plan = planPlacement(zone, engine)
+        stagesOf(plan.values, engine) shouldBe plan.values.distinct().sortedBy { it.first }
+    }
+
+    @Test
+    fun `whatever is lost, each layer is held again while the memory allows, and nobody holds more than its own`() {
+        repeat(200) { seed ->
+            val random = Random(seed)
+            val plan = planPlacement(zone, engine)
+            val left = zone.shuffled(random).drop(random.nextInt(1, 9))
+            val wanted = WantedLayers()
+            wanted.update(zone, engine)
+            wanted.retain(left.map { it.id }.toSet())
+            wanted.update(left, engine)
+            val after = left.mapNotNull { runner -> wanted.of(runner.id)?.let { runner.id to it } }.toMap()
+            withClue("seed $seed") {
+                plan.size shouldBeGreaterThanOrEqual after.size
+                gapsOf(after.values, engine).shouldBeEmpty()
+                after.forEach { (id, range) ->
+                    val kind = checkNotNull(engine.kindOf(zone.first { it.id == id }))
+                    range.size shouldBeLessThanOrEqual engine.mostLayers(kind)
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `a new leader that finds stages mends them without moving anybody`() {
+        val plan = planPlacement(zone, engine)
+        val left = zone.filter { it.id != "s5" && it.id in plan }
+        val wanted = WantedLayers()
+        left.forEach { wanted.found(it.id, plan.getValue(it.id)) }
+        wanted.update(left + runner("new"), engine)
+        left.forEach { wanted.of(it.id) shouldBe plan.getValue(it.id) }
+        wanted.of("new") shouldBe plan.getValue("s5")
+    }
+
+    @Test
+    fun `a small zone holds each layer once`() {
+        holdersPerLayer(listOf(runner("m1", "middle")) + List(13) { runner("s$it") }, engine) shouldBe 1
+    }
+}
