Let a new leader place at once, and ask before it orders a runner that another leader ordered

Cause: it waited for 1.5 s without a new runner, and a release brings one each 0.82 s; and it took every runner's count of orders to be 0. Fix: each replica watches the fleet also while another one leads; the wait is for the process to have seen the fleet, or for a complete fleet only where nothing is placed yet. A runner found with layers is asked for its count before its first order. Tests: 'a new leader that watched the fleet repairs a loss at once ...' and 'a new leader asks a runner that holds layers ...'; the code before has no means for either.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/PlacementRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/PlacementRunner.kt
@@ -6,6 +6,7 @@
 import cassiaspindle.relay.placement.OrderResult
 import cassiaspindle.relay.placement.PlacementController
 import cassiaspindle.relay.placement.PlacementOrder
+import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
 import cassiaspindle.transport.relay.RunnerConnections
 import com.github.michaelbull.result.onFailure
@@ -36,21 +37,21 @@
 
     /** Decides and sends what is due. */
     fun tick() {
-        val table = parts.state.configuration.table
-        if (table == null || !parts.leads()) {
-            controllers.values.forEach(PlacementController::reset)
-            return
-        }
+        val table = parts.state.configuration.table ?: return
         val usable = parts.state.runners.usable()
         table.configuration.services.forEach { service ->
             val engine = service.engine ?: return@forEach
             val controller = controllers.computeIfAbsent(service.name) { PlacementController() }
             val members = usable.filter { it.service == service.name }
-            controller.due(members, engine, parts.now()).forEach { scope.launch { order(controller, it) } }
-            controller.toAsk(parts.now()).forEach { scope.launch { ask(controller, it) } }
+            if (parts.leads()) place(controller, members, engine) else controller.observe(members, parts.now())
         }
     }
 
+    private fun place(controller: PlacementController, members: List<RunnerNotice>, engine: EngineDescription) {
+        controller.due(members, engine, parts.now()).forEach { scope.launch { order(controller, it) } }
+        controller.toAsk(parts.now()).forEach { scope.launch { ask(controller, it) } }
+    }
+
     private suspend fun order(controller: PlacementController, order: PlacementOrder) {
         val answer =
             parts.connections.exchangeOnce(order.runner.address, parts.protocol.writeOrder(order), ORDER_MILLISECONDS)
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
@@ -5,7 +5,7 @@
 import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
 
-/** No new runner for this long: the fleet counts as complete for the first plan, in milliseconds. */
+/** No new runner for this long: the fleet counts as complete for a plan from nothing, in milliseconds. */
 private const val SETTLED_MILLISECONDS = 1_500L
 
 /** Time after which an order that was taken and whose effect was not reported is looked into, in milliseconds. */
@@ -73,11 +73,15 @@
             .map(Known::runner)
     }
 
-    /** Forgets everything, where this replica does not lead any more. */
-    fun reset() = shards.withIndex(0) { it.clear() }
+    /** Forgets what was ordered, where this replica does not lead; it goes on watching the fleet of [runners]. */
+    fun observe(runners: List<RunnerNotice>, nowMilliseconds: Long) = shards.withIndex(0) { state ->
+        state.clear()
+        state.watch(runners.filter { it.isUsable }, nowMilliseconds)
+    }
 
     private class Known(var runner: RunnerNotice) {
-        var orders = 0L
+        /** Orders that the runner has taken, or null where another leader may have ordered it. */
+        var orders: Long? = if (runner.range() == null) 0L else null
         var orderedMilliseconds: Long? = null
         var orderedRange: LayerRange? = null
 
@@ -95,29 +99,46 @@
     private class State {
         val known = mutableMapOf<String, Known>()
         val wanted = WantedLayers()
+        private val watched = mutableMapOf<String, Long>()
+        private var firstRunnerMilliseconds: Long? = null
         private var newestRunnerMilliseconds = 0L
 
-        /** Whether the whole fleet has been seen once; a leader that has just begun knows only a part of it. */
-        private var hasSettled = false
-
         fun clear() {
             known.clear()
             wanted.clear()
-            hasSettled = false
+        }
+
+        /** Notes when [usable] runners were seen first and when the newest came, also while another replica leads. */
+        fun watch(usable: List<RunnerNotice>, nowMilliseconds: Long) {
+            val starts = usable.associate { it.id to it.bornMilliseconds }
+            if (starts.any { (id, born) -> watched[id] != born }) newestRunnerMilliseconds = nowMilliseconds
+            if (starts.isNotEmpty()) firstRunnerMilliseconds = firstRunnerMilliseconds ?: nowMilliseconds
+            watched.clear()
+            watched += starts
+        }
+
+        /**
+         * Whether enough of the fleet has been seen: a process that has just started knows only a part of it, and a
+         * plan from nothing takes in all of it.
+         */
+        private fun hasSettled(usable: List<RunnerNotice>, nowMilliseconds: Long): Boolean {
+            val isPlaced = !wanted.isEmpty || usable.any { it.range() != null }
+            val since = if (isPlaced) firstRunnerMilliseconds else newestRunnerMilliseconds
+            return since != null && nowMilliseconds - since >= SETTLED_MILLISECONDS
         }
 
         fun due(runners: List<RunnerNotice>, engine: EngineDescription, nowMilliseconds: Long): List<PlacementOrder> {
             val usable = runners.filter { it.isUsable }
-            note(usable, nowMilliseconds)
-            hasSettled = hasSettled || nowMilliseconds - newestRunnerMilliseconds >= SETTLED_MILLISECONDS
-            if (usable.isEmpty() || !hasSettled) return emptyList()
+            watch(usable, nowMilliseconds)
+            note(usable)
+            if (usable.isEmpty() || !hasSettled(usable, nowMilliseconds)) return emptyList()
             wanted.update(usable, engine)
             return usable.groupBy(RunnerNotice::availabilityZone)
                 .values
                 .flatMap { ordersFor(it, engine, nowMilliseconds) }
         }
 
-        private fun note(usable: List<RunnerNotice>, nowMilliseconds: Long) {
+        private fun note(usable: List<RunnerNotice>) {
             val present = usable.associateBy(RunnerNotice::id)
             known.values.removeIf { present[it.runner.id]?.bornMilliseconds != it.runner.bornMilliseconds }
             wanted.retain(known.keys)
@@ -125,7 +146,6 @@
                 val before = known[runner.id]
                 if (before == null) {
                     known[runner.id] = Known(runner)
-                    newestRunnerMilliseconds = nowMilliseconds
                     runner.range()?.let { wanted.found(runner.id, it) }
                 } else {
                     before.runner = runner
@@ -151,9 +171,11 @@
             val state = known.getValue(runner.id)
             if (state.orderedRange == runner.range()) state.orderedMilliseconds = null
             if (state.orderedMilliseconds != null) return null
+            val orders = state.orders
             state.orderedMilliseconds = nowMilliseconds
             state.orderedRange = range
-            return PlacementOrder(runner, range, state.orders)
+            if (orders == null) state.isOrderLost = true
+            return orders?.let { PlacementOrder(runner, range, it) }
         }
     }
 }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/PlacementControllerTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/PlacementControllerTest.kt
@@ -11,10 +11,12 @@
 
 class PlacementControllerTest : AnnotationSpec() {
     private val fleet = listOf(runner("l1", "large"), runner("l2", "large"))
-    private val controller = PlacementController()
+    private var controller = PlacementController()
 
     @BeforeEach
-    fun forget() = controller.reset()
+    fun forget() {
+        controller = PlacementController()
+    }
 
     private fun due(runners: List<RunnerNotice>, at: Long) = controller.due(runners, engine, at)
 
@@ -84,6 +86,27 @@
         due(holding, 2_000).shouldBeEmpty()
     }
 
+    @Test
+    fun `a new leader that watched the fleet repairs a loss at once, while new runners keep coming`() {
+        val holding = listOf(fleet[0].holding(0, 27), fleet[1].holding(27, 54), runner("l3", "large").holding(54, 80))
+        (0L..3_000L step 250).forEach { controller.observe(holding, it) }
+        val order = due(holding.take(2) + runner("l4", "large"), 3_250).single()
+        order.runner.id shouldBe "l4"
+        order.expectedOrders shouldBe 0
+    }
+
+    @Test
+    fun `a new leader asks a runner that holds layers how many orders it has taken before it orders it`() {
+        val holding = listOf(fleet[0].holding(0, 40), runner("l3", "large").holding(40, 60))
+        (0L..3_000L step 250).forEach { controller.observe(holding, it) }
+        due(holding, 3_250).shouldBeEmpty()
+        controller.toAsk(3_250).map { it.id } shouldBe listOf("l3")
+        controller.reported("l3", orders = 5, range = LayerRange(40, 60), nowMilliseconds = 3_300)
+        val order = due(holding, 3_500).single()
+        order.expectedOrders shouldBe 5
+        order.range shouldBe LayerRange(40, 80)
+    }
+
     @Test
     fun `a runner that started again is ordered anew`() {
         due(fleet, 0)
