Choose a chain for each request around what failed, reroute streams that wait, and tell what is lost

Causes: chains were kept while the fleet's revision stayed, and a suspicion changes none; a refusal that names another runner was not told to anybody; a stream that waited for a lost runner was broken off and begun anew, which takes a repeat. Fix: a shortest path for each request over the trusted runners with room, busy ones costing more; a runner that a refusal names is asked for its state, and is told to all as lost where it does not answer, refuses connections or has requests waiting; a request that waits is taken over other holders of the lost layers by the first runner, and keeps its stream. What others have in flight is told from the own mean of the last second, slots of first runners count as well, suspicions run out. A refusal's log line tells host and target. Tests: LostRunnerTest, BackEndChoiceTest (the very next request avoids a failure; load spreads; slots; reroute), LayerChainTest.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -16,6 +16,9 @@
 import cassiaspindle.daemon.relay.request.AttemptRunner
 import cassiaspindle.daemon.relay.request.DeskParts
 import cassiaspindle.daemon.relay.request.DiscoveryDesk
+import cassiaspindle.daemon.relay.request.LossCheck
+import cassiaspindle.daemon.relay.request.LossDesk
+import cassiaspindle.daemon.relay.request.LossParts
 import cassiaspindle.daemon.relay.request.RelayDesk
 import cassiaspindle.daemon.relay.request.RelayParts
 import cassiaspindle.daemon.relay.request.RequestAdmission
@@ -28,7 +31,6 @@
 import cassiaspindle.relay.route.RouteKnowledge
 import cassiaspindle.relay.route.SuspicionTable
 import cassiaspindle.schema.RelaySettings
-import cassiaspindle.schema.RunnerState
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerSettings
@@ -54,7 +56,6 @@
 private const val DISCOVER_MILLISECONDS = 300L
 private const val PLACEMENT_MILLISECONDS = 250L
 private const val HUB_MILLISECONDS = 250L
-private const val LOST_MILLISECONDS = 300L
 private const val LOG_CLOSE_MILLISECONDS = 200L
 private const val MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024
 private const val STATUS_OK = 200
@@ -109,6 +110,15 @@
         ),
         scope,
     )
+    private val losses = LossDesk(
+        LossParts(
+            LossCheck(connections, protocol.backEnds, clock.monotonicMilliseconds),
+            state,
+            link,
+            log,
+            scope,
+        ),
+    )
     private val desk = relayDesk()
     private val commands = CommandLink(link, clock.monotonicMilliseconds)
     private val controlDesk = ControlDesk(protocol.operators, link, commands, state, log)
@@ -206,20 +216,13 @@
                 log = log,
                 metrics = metrics,
                 now = clock.monotonicMilliseconds,
-                onLost = ::tellLost,
+                onEvidence = losses::take,
             ),
         )
         val admission = RequestAdmission(state.configuration, environment.random)
         return RelayDesk(DeskParts(admission, relay, protocol.callers, log, metrics))
     }
 
-    private fun tellLost(address: String) {
-        val lost = state.runners.usable().firstOrNull { it.address == address } ?: return
-        val notice = lost.copy(state = RunnerState.SILENT)
-        log.write("runner_lost", "runner" to lost.id, "address" to address, "sequence" to lost.sequence)
-        if (state.take(notice)) scope.launch { link.tell(notice, needed = 1, LOST_MILLISECONDS) }
-    }
-
     private fun handlers(): Map<HostAndPort, CallHandler> = listOfNotNull(
         HostAndPort.parse(settings.callerAddress) to desk::serve,
         HostAndPort.parse(settings.readyAddress) to ::answerReady,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/RelayProtocol.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/RelayProtocol.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.relay.placement.LayerRange
 import cassiaspindle.relay.placement.OrderResult
 import cassiaspindle.relay.placement.PlacementOrder
+import cassiaspindle.relay.route.LayerChain
 import cassiaspindle.schema.RelayConfiguration
 import cassiaspindle.transport.relay.Header
 import cassiaspindle.transport.relay.RequestHead
@@ -38,6 +39,8 @@
     val readAnswer: (ResponseHead) -> RunnerAnswer,
     /** Encodes an order. */
     val writeOrder: (PlacementOrder) -> WholeRequest,
+    /** Encodes an order to the first runner of a chain to take the request called id over that chain from now on. */
+    val writeReroute: (id: String, LayerChain) -> WholeRequest,
     /** What an answer to an order says. */
     val readOrderResult: (ResponseHead) -> OrderResult,
     /** Encodes a question for the state of the backend server at an address. */
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptRunner.kt
@@ -4,13 +4,16 @@
 import cassiaspindle.daemon.relay.protocol.CallerRequest
 import cassiaspindle.daemon.relay.protocol.RunnerAnswer
 import cassiaspindle.daemon.relay.protocol.RunnerCall
+import cassiaspindle.relay.placement.OrderResult
 import cassiaspindle.relay.request.AttemptFailure
+import cassiaspindle.relay.route.LayerChain
 import cassiaspindle.transport.relay.RunnerConnection
 import cassiaspindle.transport.relay.RunnerConnections
 import cassiaspindle.transport.relay.WholeRequest
 import io.ktor.http.cio.ParserException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
+import java.net.ConnectException
 
 /** Largest answer that is kept in memory, in bytes. */
 private const val MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
@@ -18,6 +21,9 @@
 /** Pause between two events after which a stream counts as broken, beyond the time that runners wait themselves. */
 private const val SILENCE_MARGIN_MILLISECONDS = 500L
 
+/** Time within which a runner takes a request over another chain, in milliseconds. */
+private const val REROUTE_MILLISECONDS = 400L
+
 /** What a caller sent and where it goes. */
 internal data class Sending(
     val request: CallerRequest,
@@ -27,6 +33,8 @@
     val address: String,
     /** How long a plain service may stay silent, in milliseconds. */
     val patienceMilliseconds: Long,
+    /** Takes the request over other runners than the one at an address that it waits for; false where that fails. */
+    val goOnWithout: suspend (address: String) -> Boolean,
 ) {
     override fun equals(other: Any?): Boolean = this === other
 
@@ -49,6 +57,8 @@
         val answer: Whole? = null,
         /** Whether a runner says that it waits for the one at [faultAt]. */
         val isStalled: Boolean = false,
+        /** Whether nobody listens at [faultAt]. */
+        val isRefused: Boolean = false,
     ) : Attempt
 }
 
@@ -68,11 +78,15 @@
         var connection: RunnerConnection? = null
         var keep: Long? = null
         try {
-            val opened = openFor(sending)
-            connection = opened
-            val attempt = if (opened == null) notSent(sending) else exchange(opened, sending)
+            val attempt = try {
+                val opened = connections.takeKept(sending.address) ?: connections.open(sending.address)
+                connection = opened
+                exchange(opened, sending)
+            } catch (problem: IOException) {
+                notSent(sending, problem)
+            }
             val result = use(attempt)
-            keep = opened?.takeIf { it.isDone }?.let { keepTime(attempt) }
+            keep = connection?.takeIf { it.isDone }?.let { keepTime(attempt) }
             return result
         } finally {
             val idle = keep
@@ -80,12 +94,6 @@
         }
     }
 
-    private suspend fun openFor(sending: Sending): RunnerConnection? = connections.takeKept(sending.address) ?: try {
-        connections.open(sending.address)
-    } catch (_: IOException) {
-        null
-    }
-
     private suspend fun exchange(connection: RunnerConnection, sending: Sending): Attempt = try {
         val request: WholeRequest = protocol.writeRequest(sending.request, sending.call, sending.body)
         withTimeoutOrNull(sending.call.leftMilliseconds) {
@@ -122,11 +130,18 @@
             PatientWait(sending.patienceMilliseconds, { end - now() }, stalledAt = { null })
         } else {
             PatientWait(stallMilliseconds + SILENCE_MARGIN_MILLISECONDS, { end - now() }) {
-                stalls.stalledAt(sending.address, sending.request.id)
+                stalls.stalledAt(sending.address, sending.request.id)?.takeUnless { sending.goOnWithout(it) }
             }
         }
     }
 
+    /** Has the request called [id] go over [chain] from now on; false where its first runner does not agree. */
+    suspend fun reroute(id: String, chain: LayerChain): Boolean {
+        val order = protocol.writeReroute(id, chain)
+        val answer = connections.exchangeOnce(chain.first.address, order, REROUTE_MILLISECONDS)
+        return answer?.let { protocol.readOrderResult(it.head) } in setOf(OrderResult.ACCEPTED, OrderResult.DONE)
+    }
+
     private suspend fun readWhole(connection: RunnerConnection, answer: RunnerAnswer, sending: Sending): Attempt {
         val whole = Attempt.Whole(answer, connection.readWholeBody(MAXIMUM_ANSWER_BYTES))
         return when {
@@ -151,8 +166,12 @@
     }
 }
 
-private fun notSent(sending: Sending) =
-    Attempt.Failed(AttemptFailure.NotSent, reason = "no_connection", faultAt = sending.address)
+private fun notSent(sending: Sending, problem: IOException) = Attempt.Failed(
+    AttemptFailure.NotSent,
+    reason = "no_connection:${problem.javaClass.simpleName}",
+    faultAt = sending.address,
+    isRefused = problem is ConnectException,
+)
 
 private fun broken(sending: Sending, reason: String) =
     Attempt.Failed(AttemptFailure.Broken, reason, faultAt = sending.address)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayDesk.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayDesk.kt
@@ -8,6 +8,7 @@
 import cassiaspindle.transport.relay.Header
 import cassiaspindle.transport.relay.RelayCall
 import cassiaspindle.transport.relay.RequestHead
+import cassiaspindle.transport.relay.first
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.onFailure
@@ -91,6 +92,8 @@
         parts.log.write(
             "request_refused",
             "request" to refusal.id,
+            "host" to call.head.headers.first("Host"),
+            "target" to call.head.target,
             "code" to refusal.code.number,
             "name" to refusal.code,
             "detail" to detail,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRun.kt
@@ -26,6 +26,9 @@
     private var attempts = 0
     private var mayHaveRun = false
 
+    /** What the attempt under way goes over. */
+    private var current: AttemptPath? = null
+
     /** Gives what is written to the caller's stream, once it has begun. */
     private var write: (suspend (ByteArray) -> Unit)? = null
     private var lastEventId = request.lastEventId
@@ -58,34 +61,36 @@
     private suspend fun attemptAt(choice: RouteChoice, left: Long): NextStep? {
         tried += choice.backEnd.address
         attempts++
-        val tokens = request.size.tokens
+        val path = AttemptPath(parts, relaying, choice, lines)
+        current = path
         val sending = Sending(
             request,
             relaying.body,
             relaying.callTo(choice, left, lastEventId),
             choice.backEnd.address,
             patienceOf(situation),
+            path::goOnWithout,
         )
         lines.begun(choice, attempts, left, lastEventId)
-        parts.loads.begin(choice.ids, tokens)
+        path.begin()
         return try {
             parts.attempts.attempt(sending) { attempt ->
                 when (attempt) {
-                    is Attempt.Whole -> deliver(attempt, choice)
+                    is Attempt.Whole -> deliver(attempt)
                     is Attempt.Streaming -> stream(attempt.open, choice)
                     is Attempt.Failed -> failed(attempt, choice)
                 }
             }
         } finally {
-            parts.loads.end(choice.ids, tokens)
+            path.end()
         }
     }
 
     /** Answers with what the backend server said; in a stream that has begun only events may follow. */
-    private suspend fun deliver(attempt: Attempt.Whole, choice: RouteChoice): NextStep? {
+    private suspend fun deliver(attempt: Attempt.Whole): NextStep? {
         if (write != null) return NextStep.BreakOff
         call.answerWhole(relaying.headOf(attempt.answer), attempt.body)
-        return answered(choice, "status" to attempt.answer.status)
+        return answered("status" to attempt.answer.status)
     }
 
     private suspend fun stream(open: OpenAnswer, choice: RouteChoice): NextStep? {
@@ -118,7 +123,7 @@
         }
         return when (read) {
             is StreamRead.Event -> stepOutOfTime(isStreaming = true)
-            StreamRead.End -> answered(choice, "first_event_ms" to firstEventMilliseconds, "last_event" to lastEventId)
+            StreamRead.End -> answered("first_event_ms" to firstEventMilliseconds, "last_event" to lastEventId)
             is StreamRead.Broken -> {
                 val failure = AttemptFailure.BrokenStream(lastEventId)
                 val reason = "stream_broke:${read.reason}"
@@ -127,8 +132,8 @@
         }
     }
 
-    private fun answered(choice: RouteChoice, vararg fields: Pair<String, Any?>): NextStep? {
-        parts.suspicions.succeeded(choice.backEnd.address)
+    private fun answered(vararg fields: Pair<String, Any?>): NextStep? {
+        parts.suspicions.succeeded(current?.addresses.orEmpty())
         lines.ended("request_answered", attempts, *fields)
         return null
     }
@@ -137,12 +142,12 @@
         val notRun = attempt.failure == AttemptFailure.NotRun || attempt.failure == AttemptFailure.NotSent
         mayHaveRun = mayHaveRun || !notRun
         if (attempt.failure == AttemptFailure.NotSent) attempts--
-        attempt.faultAt?.let { parts.blame(it, isLost = attempt.isStalled) }
+        attempt.faultAt?.let { parts.blame(it, evidenceOf(attempt, choice.backEnd.address)) }
         val reached = situation
         val step = afterFailure(attempt.failure, reached) { parts.budget.spend(admitted.service, parts.now()) }
         lines.failed(attempt, choice, reached, step)
         val own = attempt.answer.takeIf { step is NextStep.GiveUp && !notRun }
-        return if (own == null) step else deliver(own, choice)
+        return if (own == null) step else deliver(own)
     }
 
     private suspend fun giveUp(code: ResultCode) {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestLines.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestLines.kt
@@ -3,6 +3,7 @@
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.relay.request.AttemptSituation
 import cassiaspindle.relay.request.NextStep
+import cassiaspindle.relay.route.LayerChain
 import cassiaspindle.relay.route.RouteChoice
 
 /** The log lines of one request: what was decided, and by what. */
@@ -44,6 +45,16 @@
         "next" to step,
     )
 
+    /** The request was to go over [chain] instead of the runner at [lost]; its first runner [isTaken] it or not. */
+    fun rerouted(chain: LayerChain, lost: String, isTaken: Boolean) = log.write(
+        "attempt_rerouted",
+        "request" to request.id,
+        "runner" to chain.first.id,
+        "lost_at" to lost,
+        "hops" to chain.hops.size,
+        "taken" to isTaken,
+    )
+
     /** The request ended with [event]. */
     fun ended(event: String, attempts: Int, vararg fields: Pair<String, Any?>) = log.write(
         event,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
@@ -21,13 +21,13 @@
     val log: EventLog,
     val metrics: Metrics,
     val now: () -> Long,
-    /** Tells the others that the backend server at an address is lost; must not wait. */
-    val onLost: (address: String) -> Unit,
+    /** Takes what speaks for the loss of the backend server at an address; must not wait. */
+    val onEvidence: (address: String, LossEvidence) -> Unit,
 ) {
-    /** Avoids the backend server at [address] for a while, and tells the others where it [isLost]. */
-    fun blame(address: String, isLost: Boolean) {
+    /** Avoids the backend server at [address] for a while, and hands on the [evidence] that it is lost. */
+    fun blame(address: String, evidence: LossEvidence) {
         suspicions.failed(address, now())
-        if (isLost) onLost(address)
+        if (evidence != LossEvidence.NONE) onEvidence(address, evidence)
     }
 }
 
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndChoice.kt
@@ -2,6 +2,11 @@
 
 import cassiaspindle.core.concurrency.RandomSource
 import cassiaspindle.relay.fleet.RunnerTable
+import cassiaspindle.relay.placement.LayerRange
+import cassiaspindle.relay.placement.MOST_HOPS
+import cassiaspindle.relay.placement.kindOf
+import cassiaspindle.relay.placement.range
+import cassiaspindle.relay.placement.roomTokens
 import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
 import com.github.michaelbull.result.Err
@@ -9,8 +14,12 @@
 import com.github.michaelbull.result.Result
 import java.util.concurrent.atomic.AtomicReference
 
-/** How often chains are looked for again while the fleet stays the same, in milliseconds; suspicions run out. */
-private const val CHAIN_LIFETIME_MILLISECONDS = 250L
+/** Cost of a hop over a runner whose room is all taken, in milliseconds a token; in proportion where less is. */
+private const val FULL_RUNNER_MILLISECONDS = 4.0
+
+/** Largest cost by lot of a hop, in milliseconds a token, so that entry VMs do not all choose the same runners. */
+private const val LOT_MILLISECONDS = 0.25
+private const val LOTS = 1_000
 
 /** How much fuller the chain of the own zone may be than another one before that one is chosen. */
 private const val OTHER_ZONE_FILL = 0.15
@@ -34,8 +43,11 @@
     /** The whole chain, or null at a plain service. */
     val chain: LayerChain?,
 ) {
-    /** Names of all backend servers that take part. */
-    val ids: List<String> get() = chain?.hops?.map { it.runner.id } ?: listOf(backEnd.id)
+    /** All backend servers that take part. */
+    val backEnds: List<RunnerNotice> get() = chain?.hops?.map { it.runner } ?: listOf(backEnd)
+
+    /** Their names. */
+    val ids: List<String> get() = backEnds.map(RunnerNotice::id)
 }
 
 /** Why a request has no place. */
@@ -56,7 +68,7 @@
     private val availabilityZone: String,
     private val random: RandomSource,
 ) {
-    private val chains = AtomicReference<Map<String, ZoneChains>>(emptyMap())
+    private val fleets = AtomicReference<Map<String, Fleet>>(emptyMap())
 
     /** The choice for [question], or why there is none. */
     fun choose(question: RouteQuestion): Result<RouteChoice, NoRoute> {
@@ -64,64 +76,114 @@
         return if (engine == null) chooseInstance(question) else chooseChain(question, engine)
     }
 
+    /**
+     * The [chain] of a request under way with other runners in place of those that are lost or avoided, or null where
+     * the first runner is one of them, or no others hold their layers in the same zone.
+     */
+    fun reroute(chain: LayerChain, question: RouteQuestion): LayerChain? {
+        val engine = question.engine ?: return null
+        val trusted = fleet(question).runners.filterNot { isSuspect(it, question) }
+        val kept = chain.hops.filter { hop -> trusted.any { it.id == hop.runner.id } }.map { it.runner.id }.toSet()
+        val zone = trusted.filter { it.availabilityZone == chain.first.availabilityZone && it.id !in kept }
+        val sharers = knowledge.sharers()
+        val fills = zone.associate { it.id to fillOf(it, question, engine, sharers) }
+        val hops = chain.hops.flatMap { hop ->
+            val instead = if (hop.runner.id in kept) null else chainOver(zone, engine, fills, hop.layers)?.hops
+            instead ?: listOf(hop)
+        }
+        val isWhole = hops.all { it.runner.id in kept || it.runner.id in fills }
+        return chain.copy(hops = hops).takeIf { chain.first.id in kept && isWhole && hops.size <= MOST_HOPS }
+    }
+
     private fun chooseInstance(question: RouteQuestion): Result<RouteChoice, NoRoute> {
-        val untried = usable(question).filter { it.address !in question.tried }
+        val untried = fleet(question).runners.filter { it.address !in question.tried }
         val trusted = untried.filterNot { isSuspect(it, question) }.ifEmpty { untried }
         return trusted
-            .map { Candidate(it, knowledge.loads.at(it.id).requests, random(Int.MAX_VALUE)) }
+            .map { Candidate(it, knowledge.loads.at(it.id, question.nowMilliseconds).requests, random(Int.MAX_VALUE)) }
             .minWithOrNull(compareBy({ it.load }, { it.runner.availabilityZone != availabilityZone }, { it.lot }))
             ?.let { Ok(RouteChoice(it.runner, chain = null)) }
             ?: Err(NoRoute.NO_BACK_END)
     }
 
     private fun chooseChain(question: RouteQuestion, engine: EngineDescription): Result<RouteChoice, NoRoute> {
-        val untried = chainsOf(question, engine).filter { it.first.address !in question.tried }
-        val chain = untried.filter { hasRoom(it, question.tokens) }.minByOrNull { fillOf(it) + distanceOf(it) }
+        val trusted = fleet(question).zones.mapValues { (_, runners) ->
+            runners.filterNot { it.address in question.tried || isSuspect(it, question) }
+        }
+        val sharers = knowledge.sharers()
+        val fills = trusted.values.flatten().associate { it.id to fillOf(it, question, engine, sharers) }
+        val roomy = trusted.mapValues { (_, runners) -> runners.filter { fills.getValue(it.id) <= 1 } }
+        val chain = bestChain(roomy, engine, fills)
         return when {
             chain != null -> Ok(RouteChoice(chain.first, chain))
-            untried.isEmpty() -> Err(NoRoute.NO_BACK_END)
+            bestChain(trusted, engine, fills) == null -> Err(NoRoute.NO_BACK_END)
             else -> Err(NoRoute.NO_ROOM)
         }
     }
 
-    private fun hasRoom(chain: LayerChain, tokens: Int): Boolean = chain.hops.all { hop ->
-        (knowledge.loads.at(hop.runner.id).tokens + tokens).toLong() * knowledge.sharers() <= chain.roomTokens
+    /** A chain of the own zone where it is not much fuller than another one; one over all zones where none has any. */
+    private fun bestChain(
+        zones: Map<String, List<RunnerNotice>>,
+        engine: EngineDescription,
+        fills: Map<String, Double>,
+    ): LayerChain? {
+        val near = chainOver(zones[availabilityZone].orEmpty(), engine, fills)
+        val isNearFine = near != null && fillOf(near, fills) <= OTHER_ZONE_FILL
+        val others = if (isNearFine) emptyList() else zones.minus(availabilityZone).values
+        val whole = listOfNotNull(near) + others.mapNotNull { chainOver(it, engine, fills) }
+        return whole.minByOrNull { fillOf(it, fills) + if (it === near) 0.0 else OTHER_ZONE_FILL }
+            ?: chainOver(zones.values.flatten(), engine, fills)
     }
 
-    /** How much of the room of [chain] is in use by this entry VM and, as far as it can tell, by the others. */
-    private fun fillOf(chain: LayerChain): Double =
-        knowledge.loads.at(chain.first.id).tokens.toDouble() * knowledge.sharers() / maxOf(1, chain.roomTokens)
-
-    private fun distanceOf(chain: LayerChain): Double =
-        if (chain.first.availabilityZone == availabilityZone) 0.0 else OTHER_ZONE_FILL
-
-    /** The chains of the own zone, then those of other zones; one over all zones where no zone has any. */
-    private fun chainsOf(question: RouteQuestion, engine: EngineDescription): List<LayerChain> {
-        val held = chains.get()[question.service]
-        val revision = knowledge.runners.revision
-        val isFresh = held != null && held.revision == revision &&
-            question.nowMilliseconds - held.foundMilliseconds < CHAIN_LIFETIME_MILLISECONDS
-        if (held != null && isFresh) return held.chains
-        val found = ZoneChains(revision, question.nowMilliseconds, newChains(question, engine))
-        chains.updateAndGet { it + (question.service to found) }
-        return found.chains
+    private fun chainOver(
+        runners: List<RunnerNotice>,
+        engine: EngineDescription,
+        fills: Map<String, Double>,
+        layers: LayerRange = LayerRange(0, engine.layers),
+    ) = findChain(runners, engine, layers) { runner ->
+        val lot = random(LOTS) * LOT_MILLISECONDS / LOTS
+        fills.getValue(runner.id) * FULL_RUNNER_MILLISECONDS + lot
     }
 
-    private fun newChains(question: RouteQuestion, engine: EngineDescription): List<LayerChain> {
-        val trusted = usable(question).filterNot { isSuspect(it, question) }
-        val zones = trusted.groupBy(RunnerNotice::availabilityZone)
-        val near = zones[availabilityZone].orEmpty().let { findChains(it, engine) }
-        val others = (zones - availabilityZone).values.flatMap { findChains(it, engine) }
-        val whole = near + others.sortedBy { it.stepMilliseconds }
-        return whole.ifEmpty { listOfNotNull(findChain(trusted, engine)) }
+    /**
+     * How much of the room of [runner] is taken with this request, as far as is known here; 1 is all of it. Only the
+     * first runner of a chain counts requests.
+     */
+    private fun fillOf(
+        runner: RunnerNotice,
+        question: RouteQuestion,
+        engine: EngineDescription,
+        sharers: Int,
+    ): Double {
+        val range = runner.range()
+        val room = engine.kindOf(runner)?.let { engine.roomTokens(it, range?.size ?: 0) } ?: 0
+        val load = knowledge.loads.at(runner.id, question.nowMilliseconds)
+        val ofTokens = (load.tokensOfAll(sharers) + question.tokens) / maxOf(1, room)
+        val ofSlots = (load.requestsOfAll(sharers) + 1) / maxOf(1, runner.slots)
+        return if (range?.first == 0) maxOf(ofTokens, ofSlots) else ofTokens
     }
 
-    private fun usable(question: RouteQuestion) = knowledge.runners.usable().filter { it.service == question.service }
+    private fun fillOf(chain: LayerChain, fills: Map<String, Double>): Double =
+        chain.hops.maxOf { fills.getValue(it.runner.id) }
+
+    /** The backend servers of the service; arranged once for each change of them. */
+    private fun fleet(question: RouteQuestion): Fleet {
+        val revision = knowledge.runners.revision
+        val held = fleets.get()[question.service]
+        if (held != null && held.revision == revision) return held
+        val runners = knowledge.runners.usable().filter { it.service == question.service }
+        val found = Fleet(revision, runners, runners.groupBy(RunnerNotice::availabilityZone))
+        fleets.updateAndGet { it + (question.service to found) }
+        return found
+    }
 
     private fun isSuspect(runner: RunnerNotice, question: RouteQuestion) =
         knowledge.suspicions.isSuspect(runner.address, question.nowMilliseconds)
 
-    private data class ZoneChains(val revision: Long, val foundMilliseconds: Long, val chains: List<LayerChain>)
+    private data class Fleet(
+        val revision: Long,
+        val runners: List<RunnerNotice>,
+        val zones: Map<String, List<RunnerNotice>>,
+    )
 
     private data class Candidate(val runner: RunnerNotice, val load: Int, val lot: Int)
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/SuspicionTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/SuspicionTable.kt
@@ -16,22 +16,25 @@
 
     /** Takes a failure of the backend server at [address]; gives the time that it is avoided, in milliseconds. */
     fun failed(address: String, nowMilliseconds: Long): Long = shards.withKey(address) { suspicions ->
-        val before = suspicions[address]
+        val before = suspicions[address]?.takeUnless { it.isOver(nowMilliseconds) }
         val length = before?.let { minOf(it.lengthMilliseconds * 2, LONGEST_MILLISECONDS) } ?: SHORTEST_MILLISECONDS
         suspicions[address] = Suspicion(nowMilliseconds + length, length)
         length
     }
 
-    /** Takes a success of the backend server at [address]. */
-    fun succeeded(address: String) {
+    /** Takes a success in which the backend servers at [addresses] took part. */
+    fun succeeded(addresses: List<String>) = addresses.forEach { address ->
         shards.withKey(address) { it.remove(address) }
     }
 
     /** Whether the backend server at [address] is avoided. */
     fun isSuspect(address: String, nowMilliseconds: Long): Boolean =
-        shards.withKey(
-            address
-        ) { suspicions -> suspicions[address]?.let { nowMilliseconds < it.endMilliseconds } ?: false }
+        shards.withKey(address) { suspicions ->
+            suspicions[address]?.let { nowMilliseconds < it.endMilliseconds } ?: false
+        }
 
-    private data class Suspicion(val endMilliseconds: Long, val lengthMilliseconds: Long)
+    private data class Suspicion(val endMilliseconds: Long, val lengthMilliseconds: Long) {
+        /** Whether as much time has passed without a failure as the backend server was avoided before. */
+        fun isOver(nowMilliseconds: Long): Boolean = nowMilliseconds > endMilliseconds + lengthMilliseconds
+    }
 }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/route/BackEndChoiceTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/route/BackEndChoiceTest.kt
@@ -4,11 +4,14 @@
 import cassiaspindle.relay.engine
 import cassiaspindle.relay.fleet.RunnerTable
 import cassiaspindle.relay.holding
+import cassiaspindle.relay.placement.LayerRange
 import cassiaspindle.relay.runner
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.doubles.plusOrMinus
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 
 class BackEndChoiceTest : AnnotationSpec() {
     private var runners = RunnerTable()
@@ -38,7 +41,7 @@
     fun `the least loaded instance is chosen and the own zone among equals`() {
         announce("a1", "b1", "b2")
         chosen(question(model = false)) shouldBe "a1"
-        loads.begin(listOf("a1"), 0)
+        loads.begin(listOf("a1"), 0, nowMilliseconds = 0)
         chosen(question(model = false))?.take(1) shouldBe "b"
     }
 
@@ -68,4 +71,65 @@
         runners.offer(runner("a2", "large", "a").holding(40, 80), 0)
         choice.choose(question(model = true, tokens = 10_000_000)).getError() shouldBe NoRoute.NO_ROOM
     }
+
+    private fun stages() = listOf("1", "2").forEach { copy ->
+        runners.offer(runner("a$copy", "large", "a").holding(0, 40), 0)
+        runners.offer(runner("b$copy", "large", "a").holding(40, 80), 0)
+    }
+
+    @Test
+    fun `requests spread over all holders of a layer`() {
+        stages()
+        val chosen = List(40) {
+            val ids = checkNotNull(choice.choose(question(model = true)).get()).ids
+            loads.begin(ids, 100, nowMilliseconds = 0)
+            ids
+        }
+        chosen.flatten().groupingBy { it }.eachCount().values.toSet() shouldBe setOf(20)
+    }
+
+    @Test
+    fun `a first runner whose slots are taken is passed over, and a later one is not`() {
+        stages()
+        repeat(134) { loads.begin(listOf("a1", "b1"), 0, nowMilliseconds = 0) }
+        val ids = List(10) { choice.choose(question(model = true)).get()?.ids }
+        ids.map { it?.first() }.distinct() shouldBe listOf("a2")
+        ids.mapNotNull { it?.last() }.distinct().sorted() shouldBe listOf("b1", "b2")
+    }
+
+    @Test
+    fun `a failure is avoided by the very next request, and what is left of the zone serves`() {
+        stages()
+        choice.choose(question(model = true, at = 100)).get() shouldNotBe null
+        suspicions.failed("b1:80", nowMilliseconds = 100)
+        repeat(20) { choice.choose(question(model = true, at = 100)).get()?.ids?.contains("b1") shouldBe false }
+        choice.choose(question(model = true, at = 100, tried = setOf("a1:80"))).get()?.ids shouldBe listOf("a2", "b2")
+    }
+
+    @Test
+    fun `a chain goes on over another holder of the layers of a lost runner, where its first runner stands`() {
+        stages()
+        val chain = checkNotNull(choice.choose(question(model = true)).get()?.chain)
+        val (first, second) = chain.hops.map { it.runner }
+        suspicions.failed(second.address, nowMilliseconds = 100)
+        val other = if (second.id == "b1") "b2" else "b1"
+        val rerouted = choice.reroute(chain, question(model = true, at = 100))
+        rerouted?.hops?.map { it.runner.id to it.layers } shouldBe
+            listOf(first.id to LayerRange(0, 40), other to LayerRange(40, 80))
+        suspicions.failed("$other:80", nowMilliseconds = 100)
+        choice.reroute(chain, question(model = true, at = 100)) shouldBe null
+        suspicions.succeeded(listOf("$other:80"))
+        suspicions.failed(first.address, nowMilliseconds = 100)
+        choice.reroute(chain, question(model = true, at = 100)) shouldBe null
+    }
+
+    @Test
+    fun `what other entry VMs have in flight is told from the usual load here`() {
+        loads.begin(listOf("a1"), 1_000, nowMilliseconds = 0)
+        loads.at("a1", nowMilliseconds = 0).tokensOfAll(sharers = 10) shouldBe 1_000.0
+        loads.at("a1", nowMilliseconds = 60_000).tokensOfAll(sharers = 10) shouldBe (10_000.0 plusOrMinus 1.0)
+        loads.end(listOf("a1"), 1_000, nowMilliseconds = 60_000)
+        loads.at("a1", nowMilliseconds = 60_000).tokensOfAll(sharers = 10) shouldBe (9_000.0 plusOrMinus 1.0)
+        loads.at("a1", nowMilliseconds = 120_000).tokensOfAll(sharers = 10) shouldBe (0.0 plusOrMinus 1.0)
+    }
 }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/route/LayerChainTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/route/LayerChainTest.kt
@@ -54,13 +54,13 @@
     }
 
     @Test
-    fun `each copy in a zone gives a chain of its own`() {
-        val copies = listOf("a", "b", "c").flatMap { copy ->
+    fun `the less busy of several holders of the same layers is a hop`() {
+        val runners = listOf("a", "b", "c").flatMap { copy ->
             listOf(runner("${copy}1", "large").holding(0, 40), runner("${copy}2", "large").holding(40, 80))
         }
-        val chains = findChains(copies, engine)
-        chains.size shouldBe 3
-        chains.flatMap { chain -> chain.hops.map { it.runner.id } }.distinct().size shouldBe 6
+        val busy = mapOf("a1" to 3.0, "b1" to 1.0, "c1" to 2.0, "a2" to 1.0, "b2" to 3.0, "c2" to 2.0)
+        val chain = findChain(runners, engine) { busy.getValue(it.id) }
+        chain?.hops?.map { it.runner.id } shouldBe listOf("b1", "a2")
     }
 
     private fun randomFleet(random: Random) = List(random.nextInt(3, 30)) { index ->
