Read the events of a stream without a coroutine for each, and run periodic tasks only where they have work

Fix: each wait for the next event began a coroutine and handed it to another thread; reads that take nothing before they have a value are now waited for in place, and a value that comes just when a wait is over is kept. The tasks of placement and of the fleet's hub run only where there is a replica. Test: PatientWaitTest (no byte lost that comes as a wait ends; ends of a wait).

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -160,8 +160,10 @@
         server
         every(DISCOVER_MILLISECONDS, core::discover)
         every(PRESENCE_MILLISECONDS) { standing.tell(link) }
-        every(PLACEMENT_MILLISECONDS, placement::tick)
-        every(HUB_MILLISECONDS, core::tickHub)
+        if (settings.dataFolder != null) {
+            every(PLACEMENT_MILLISECONDS, placement::tick)
+            every(HUB_MILLISECONDS, core::tickHub)
+        }
         watch.start()
         log.write(
             "started",
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/OpenAnswer.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/OpenAnswer.kt
@@ -46,7 +46,7 @@
     }
 
     private suspend fun readSome(): ByteArray? {
-        val bytes = wait.forValue { connection.readBody() }
+        val bytes = wait.forNext { connection.readBody() }
         if (bytes == null && splitter.holdsPart) throw EOFException("the stream ended within an event")
         return bytes
     }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/PatientWait.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/PatientWait.kt
@@ -26,20 +26,41 @@
     suspend fun <Value> forValue(read: suspend () -> Value): Value = coroutineScope {
         val reading = async { runCatching { read() } }
         try {
-            var waited = 0L
-            var result = withTimeoutOrNull(quiet()) { reading.await() }
-            while (result == null) {
-                waited += QUIET_MILLISECONDS
-                if (leftMilliseconds() <= 0) throw IOException("the time of the request is over")
-                stalledAt()?.let { throw StalledException(it) }
-                if (waited >= longestMilliseconds) throw IOException("nothing within $longestMilliseconds ms")
-                result = withTimeoutOrNull(quiet()) { reading.await() }
-            }
-            result.getOrThrow()
+            forNext { reading.await() }.getOrThrow()
         } finally {
             reading.cancel()
         }
     }
 
+    /** The same for a [read] that takes nothing before it has a value, so that it may be broken off and begun again. */
+    suspend fun <Value> forNext(read: suspend () -> Value): Value {
+        var waited = 0L
+        var result = readQuietly(read)
+        while (result == null) {
+            waited += QUIET_MILLISECONDS
+            endOf(waited)?.let { throw it }
+            result = readQuietly(read)
+        }
+        return result.value
+    }
+
+    /** Why a wait of [waited] milliseconds ends here, or null where it goes on. */
+    private suspend fun endOf(waited: Long): IOException? =
+        if (leftMilliseconds() <= 0) {
+            IOException("the time of the request is over")
+        } else {
+            stalledAt()?.let(::StalledException)
+                ?: IOException("nothing within $longestMilliseconds ms").takeIf { waited >= longestMilliseconds }
+        }
+
+    /** A value that comes just when the time is over is not lost. */
+    private suspend fun <Value> readQuietly(read: suspend () -> Value): Taken<Value>? {
+        var taken: Taken<Value>? = null
+        withTimeoutOrNull(quiet()) { taken = Taken(read()) }
+        return taken
+    }
+
+    private class Taken<Value>(val value: Value)
+
     private fun quiet() = minOf(QUIET_MILLISECONDS, maxOf(1, leftMilliseconds()))
 }
--- /dev/null
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/request/PatientWaitTest.kt
@@ -0,0 +1,53 @@
+package cassiaspindle.daemon.relay.request
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.ktor.utils.io.ByteChannel
+import io.ktor.utils.io.readAvailable
+import io.ktor.utils.io.writeByte
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.io.IOException
+
+class PatientWaitTest : AnnotationSpec() {
+    @Test
+    fun `no byte is lost that comes just when a wait is over`() = runBlocking(Dispatchers.Default) {
+        val channel = ByteChannel()
+        launch {
+            repeat(BYTES) { index ->
+                channel.writeByte(index.toByte())
+                channel.flush()
+                if (index % 3 == 0) delay(1)
+            }
+            channel.flushAndClose()
+        }
+        val wait = PatientWait(Long.MAX_VALUE, leftMilliseconds = { 1 }, stalledAt = { null })
+        val received = mutableListOf<Byte>()
+        val buffer = ByteArray(8)
+        var count = wait.forNext { channel.readAvailable(buffer) }
+        while (count >= 0) {
+            received += buffer.take(count)
+            count = wait.forNext { channel.readAvailable(buffer) }
+        }
+        received shouldBe List(BYTES) { it.toByte() }
+    }
+
+    @Test
+    fun `a wait ends with the runner that the request waits for, or with its time`() = runBlocking {
+        var left = 1_000L
+        val stalled = PatientWait(Long.MAX_VALUE, { left }, stalledAt = { "10.0.0.1:80" })
+        shouldThrow<StalledException> { stalled.forNext { awaitCancellation() } }.faultAt shouldBe "10.0.0.1:80"
+        left = 0
+        val over = PatientWait(Long.MAX_VALUE, { left }, stalledAt = { null })
+        shouldThrow<IOException> { over.forValue { awaitCancellation() } }
+        Unit
+    }
+
+    private companion object {
+        const val BYTES = 3_000
+    }
+}
