Count failures of requests that were under way together as one failure

Callers saw a zone with half of a stage for seconds after its lost runner had come back: each of some six streams of an entry VM that break at the same runner doubled the time for which it is avoided, from 1 to 8 s, and a crashed runner is back after 3 to 5. Class: one event counted once for each of its witnesses. Fix: a failure while the runner is avoided says nothing new; only one after that time doubles it.

--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/SuspicionTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/SuspicionTable.kt
@@ -4,7 +4,7 @@
 
 private const val SHARDS = 4
 
-/** First time that a backend server is avoided after a failure, in milliseconds; doubled by each further failure. */
+/** Time that a backend server is avoided after a failure, in milliseconds; doubled by a failure right after it. */
 private const val SHORTEST_MILLISECONDS = 1_000L
 
 /** Longest time that a backend server is avoided, in milliseconds. */
@@ -14,12 +14,20 @@
 class SuspicionTable {
     private val shards = Sharded(SHARDS) { mutableMapOf<String, Suspicion>() }
 
-    /** Takes a failure of the backend server at [address]; gives the time that it is avoided, in milliseconds. */
+    /**
+     * Takes a failure of the backend server at [address]; gives the time that it is avoided, in milliseconds.
+     *
+     * Requests that fail while it is avoided were under way before, and say nothing new.
+     */
     fun failed(address: String, nowMilliseconds: Long): Long = shards.withKey(address) { suspicions ->
         val before = suspicions[address]?.takeUnless { it.isOver(nowMilliseconds) }
-        val length = before?.let { minOf(it.lengthMilliseconds * 2, LONGEST_MILLISECONDS) } ?: SHORTEST_MILLISECONDS
-        suspicions[address] = Suspicion(nowMilliseconds + length, length)
-        length
+        val next = when {
+            before == null -> suspicion(SHORTEST_MILLISECONDS, nowMilliseconds)
+            nowMilliseconds < before.endMilliseconds -> before
+            else -> suspicion(minOf(before.lengthMilliseconds * 2, LONGEST_MILLISECONDS), nowMilliseconds)
+        }
+        suspicions[address] = next
+        next.lengthMilliseconds
     }
 
     /** Takes a success in which the backend servers at [addresses] took part. */
@@ -33,6 +41,9 @@
             suspicions[address]?.let { nowMilliseconds < it.endMilliseconds } ?: false
         }
 
+    private fun suspicion(lengthMilliseconds: Long, nowMilliseconds: Long) =
+        Suspicion(nowMilliseconds + lengthMilliseconds, lengthMilliseconds)
+
     private data class Suspicion(val endMilliseconds: Long, val lengthMilliseconds: Long) {
         /** Whether as much time has passed without a failure as the backend server was avoided before. */
         fun isOver(nowMilliseconds: Long): Boolean = nowMilliseconds > endMilliseconds + lengthMilliseconds
