Ask the first runner of a stream that waits again where it refuses another chain

Callers saw streams broken off though other holders stood: where two runners of a path are lost at the same moment, the first chain proposed goes over the other lost one, the runner refuses it, and the stream was given up at once. Test: LostRunnerTest, with the first order refused: failed before (the stream ended within its second event).

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptPath.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptPath.kt
@@ -4,6 +4,9 @@
 import cassiaspindle.relay.route.RouteChoice
 import cassiaspindle.schema.RunnerNotice
 
+/** Refusals of other chains after which an attempt is given up. */
+private const val MOST_REFUSALS = 3
+
 /** The backend servers that one attempt goes over, which may change while it runs; counts its work at each. */
 internal class AttemptPath(
     private val parts: RelayParts,
@@ -14,6 +17,7 @@
     private val request = relaying.admitted.request
     private var chain = choice.chain
     private var counted = choice.backEnds
+    private var refusals = 0
 
     /** Addresses of the backend servers that it goes over now. */
     val addresses: List<String> get() = counted.map(RunnerNotice::address)
@@ -24,12 +28,15 @@
     /** Takes back what was counted. */
     fun end() = parts.loads.end(counted.map(RunnerNotice::id), request.size.tokens, parts.now())
 
-    /** Goes on without the runner at [address], which is lost; false where no others can take its place. */
+    /**
+     * Goes on without the runner at [address], which is lost; false where no others can take its place. Where the first
+     * runner does not agree, as when another one of the new chain is lost too, it is asked again at the next call.
+     */
     suspend fun goOnWithout(address: String): Boolean {
         parts.blame(address, LossEvidence.CERTAIN)
         val current = chain
         return when {
-            current == null -> false
+            current == null || refusals >= MOST_REFUSALS -> false
             current.hops.none { it.runner.address == address } -> true
             else -> parts.choice.reroute(current, relaying.question(emptySet(), parts.now()))
                 ?.let { take(it, address) }
@@ -45,7 +52,9 @@
             chain = next
             counted = next.hops.map { it.runner }
             begin()
+        } else {
+            refusals++
         }
-        return isTaken
+        return true
     }
 }
