Tell what the last replica said that had its time, not of a try cut off by the end of the call

The loop noted a new try before its answer; where the call's time ended during that try, what the replicas had said before was lost, from the log line of a change too. The busier the machine, the likelier. Fix: a try is noted with its answer.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/CommandLink.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/CommandLink.kt
@@ -20,7 +20,7 @@
     val outcome: CommandOutcome? = null,
     /** How often it was sent, or found nobody to send it to. */
     val tries: Int = 0,
-    /** Peer address of the replica that was asked last. */
+    /** Peer address of the replica that was asked last, without one whose time was cut off by the end of the call. */
     val asked: String? = null,
     /** What that replica said where it decided nothing; null where it said nothing. */
     val undecidedCode: Int? = null,
@@ -40,11 +40,12 @@
             while (submission.outcome == null) {
                 if (submission.tries > 0) delay(RETRY_MILLISECONDS)
                 val target = leader.get() ?: inTurn(avoided = submission.asked)
-                submission = Submission(tries = submission.tries + 1, asked = target)
                 val outcome = target?.let { ask(it, command) }
                 val isUndecided = outcome == null || outcome.code in UNDECIDED
-                submission = submission.copy(
+                submission = Submission(
                     outcome = outcome.takeUnless { isUndecided },
+                    tries = submission.tries + 1,
+                    asked = target,
                     undecidedCode = outcome?.code.takeIf { isUndecided },
                 )
             }
