--- a/codec/src/test/kotlin/cassiaspindle/codec/PackedTextTest.kt
+++ b/codec/src/test/kotlin/cassiaspindle/codec/PackedTextTest.kt
@@ -12,8 +12,8 @@
     private val random = Random(1)
 
     private val configuration = List(1_440) { index ->
-        """{"Name":"r-${word()}","Host":"${word()}.example","PathPrefix":"/${word()}/","Kind":"streaming","TimeoutMs":20000,
-        "TargetLatencyMs":500,"Priority":1,"Service":"huvo11a","MaxAttempts":2,"AllowAnonymous":false,"No":$index}"""
+        """{"name":"r-${word()}","host":"${word()}.example","path":"/${word()}/","kind":"STREAM","timeout":20000,
+        "objective":500,"priority":1,"service":"huvo11a","attempts":2,"anonymous":false,"resumable":true,"no":$index}"""
     }.joinToString(",", "[", "]")
 
     private fun word() = List(7) { 'a' + random.nextInt(26) }.joinToString("")
