Let a leader whose process has just started hear the whole fleet before it moves anybody

Fix: the wait ends where no new runner came for 1.5 s, or 5 s after the first one; a process that has seen that once, also while another replica led, waits no more. Test: 'a leader whose process has just started moves nobody ...' failed before (it asked runners for orders), passes now.

--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/placement/PlacementController.kt
@@ -8,6 +8,9 @@
 /** No new runner for this long: the fleet counts as complete for a plan from nothing, in milliseconds. */
 private const val SETTLED_MILLISECONDS = 1_500L
 
+/** A process that has heard runners for this long has heard all of them, though new ones come, in milliseconds. */
+private const val SEEN_MILLISECONDS = 5_000L
+
 /** Time after which an order that was taken and whose effect was not reported is looked into, in milliseconds. */
 private const val ORDER_PATIENCE_MILLISECONDS = 14_000L
 
@@ -103,6 +106,9 @@
         private var firstRunnerMilliseconds: Long? = null
         private var newestRunnerMilliseconds = 0L
 
+        /** Whether this process, leading or not, has seen the fleet at rest or for long enough once. */
+        private var hasSeenFleet = false
+
         fun clear() {
             known.clear()
             wanted.clear()
@@ -115,16 +121,21 @@
             if (starts.isNotEmpty()) firstRunnerMilliseconds = firstRunnerMilliseconds ?: nowMilliseconds
             watched.clear()
             watched += starts
+            val first = firstRunnerMilliseconds
+            val sawLong = first != null && nowMilliseconds - first >= SEEN_MILLISECONDS
+            hasSeenFleet = hasSeenFleet || sawLong || isAtRest(nowMilliseconds)
         }
 
+        private fun isAtRest(nowMilliseconds: Long): Boolean =
+            firstRunnerMilliseconds != null && nowMilliseconds - newestRunnerMilliseconds >= SETTLED_MILLISECONDS
+
         /**
          * Whether enough of the fleet has been seen: a process that has just started knows only a part of it, and a
          * plan from nothing takes in all of it.
          */
         private fun hasSettled(usable: List<RunnerNotice>, nowMilliseconds: Long): Boolean {
             val isPlaced = !wanted.isEmpty || usable.any { it.range() != null }
-            val since = if (isPlaced) firstRunnerMilliseconds else newestRunnerMilliseconds
-            return since != null && nowMilliseconds - since >= SETTLED_MILLISECONDS
+            return if (isPlaced) hasSeenFleet else isAtRest(nowMilliseconds)
         }
 
         fun due(runners: List<RunnerNotice>, engine: EngineDescription, nowMilliseconds: Long): List<PlacementOrder> {
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/PlacementControllerTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/placement/PlacementControllerTest.kt
@@ -86,6 +86,18 @@
         due(holding, 2_000).shouldBeEmpty()
     }
 
+    @Test
+    fun `a leader whose process has just started moves nobody while it still hears runners for the first time`() {
+        val holding = listOf(fleet[0].holding(0, 27), fleet[1].holding(27, 54), runner("l3", "large").holding(54, 80))
+        due(holding.take(1), 0).shouldBeEmpty()
+        due(holding.take(2), 1_000).shouldBeEmpty()
+        due(holding.take(2), 2_000).shouldBeEmpty()
+        controller.toAsk(2_000).shouldBeEmpty()
+        due(holding, 2_400).shouldBeEmpty()
+        due(holding, 4_000).shouldBeEmpty()
+        controller.toAsk(4_000).shouldBeEmpty()
+    }
+
     @Test
     fun `a new leader that watched the fleet repairs a loss at once, while new runners keep coming`() {
         val holding = listOf(fleet[0].holding(0, 27), fleet[1].holding(27, 54), runner("l3", "large").holding(54, 80))
