--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -24,6 +24,7 @@
 import cassiaspindle.daemon.relay.request.RequestAdmission
 import cassiaspindle.daemon.relay.request.RequestRelay
 import cassiaspindle.daemon.relay.request.StallDetector
+import cassiaspindle.relay.request.DrainSchedule
 import cassiaspindle.relay.request.RetryBudget
 import cassiaspindle.relay.request.RetryLimits
 import cassiaspindle.relay.route.BackEndSelector
@@ -35,6 +36,7 @@
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerSettings
 import cassiaspindle.transport.peer.newSelector
+import cassiaspindle.transport.relay.BufferBudget
 import cassiaspindle.transport.relay.CallHandler
 import cassiaspindle.transport.relay.Header
 import cassiaspindle.transport.relay.RelayCall
@@ -58,6 +60,9 @@
 private const val PUBLISHER_INTERVAL_MILLISECONDS = 250L
 private const val LOG_CLOSE_TIMEOUT_MILLISECONDS = 200L
 private const val MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024
+
+/** Divisor for the part of the heap that message bodies may take; each is copied up to twice while it is sent on. */
+private const val BUFFER_HEAP_DIVISOR = 6
 private const val STATUS_OK = 200
 private const val STATUS_UNAVAILABLE = 503
 
@@ -67,6 +72,8 @@
     val clock: Clock,
     val random: RandomSource,
     val log: EventLog,
+    /** Bytes of message bodies and partial events that the process may hold in memory at the same time. */
+    val maximumBufferedBytes: Long = Runtime.getRuntime().maxMemory() / BUFFER_HEAP_DIVISOR,
 )
 
 /**
@@ -110,7 +117,8 @@
             ),
         )
     private val presencePublisher = EntryPresencePublisher(settings, clock, fleetState)
-    private val connectionPool = RunnerConnectionPool(selector, clock.monotonicMilliseconds)
+    private val bufferBudget = BufferBudget(environment.maximumBufferedBytes)
+    private val connectionPool = RunnerConnectionPool(selector, bufferBudget, clock.monotonicMilliseconds)
     private val placementExecutor = PlacementExecutor(
         PlacementDependencies(
             fleetState,
@@ -138,7 +146,7 @@
         ControlRequestHandler(protocol.operators, replicaConnections, commandClient, fleetState, log)
     private val discoveryHandler =
         DiscoveryHandler(protocol.callers, fleetState, settings.discoveryLifetimeMilliseconds)
-    private val server: RelayServer by lazy { RelayServer.start(handlers(), selector, scope) }
+    private val server: RelayServer by lazy { RelayServer.start(handlers(), selector, scope, bufferBudget) }
     private val executorMonitor = ExecutorMonitor(monitoredExecutors(), clock.monotonicMilliseconds, log)
 
     /** Applies changed settings. Only the seed addresses can change while the process runs. */
@@ -151,25 +159,34 @@
     fun close() {
         presencePublisher.drain()
         requestHandler.drain()
-        log.write("stopping", "in_flight" to requestHandler.inFlight)
+        log.write("stopping", "in_flight" to requestHandler.inFlight.count)
         presencePublisher.publish(replicaConnections)
-        DrainWaiter(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds, clock)
-            .await { requestHandler.inFlight }
+        finishRequests(DrainSchedule(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds))
         executorMonitor.close()
         timer.shutdownNow()
         server.close()
         controlPlane.close()
         scope.cancel()
         selector.close()
-        log.write("stopped", "in_flight" to requestHandler.inFlight)
+        log.write("stopped", "in_flight" to requestHandler.inFlight.count)
         log.close(LOG_CLOSE_TIMEOUT_MILLISECONDS)
     }
 
+    /** Serves callers that still hold this address, then refuses new requests until those in flight have finished. */
+    private fun finishRequests(schedule: DrainSchedule) {
+        Thread.sleep(schedule.acceptForMilliseconds)
+        requestHandler.refuseNewRequests()
+        log.write("refusing_new_requests", "in_flight" to requestHandler.inFlight.count)
+        requestHandler.inFlight.awaitIdle(schedule.closeAfterMilliseconds - schedule.acceptForMilliseconds)
+    }
+
     private fun startServices() {
-        Gauge.builder("cassiaspindle.requests.in.flight", requestHandler) { it.inFlight.toDouble() }
+        Gauge.builder("cassiaspindle.requests.in.flight", requestHandler) { it.inFlight.count.toDouble() }
             .register(metrics.registry)
         Gauge.builder("cassiaspindle.runner.connections.opened", connectionPool) { it.openedTotal.toDouble() }
             .register(metrics.registry)
+        Gauge.builder("cassiaspindle.buffers.held.bytes", bufferBudget) { it.heldBytes.toDouble() }
+            .register(metrics.registry)
         Gauge.builder("cassiaspindle.log.dropped", log) { it.droppedLines.toDouble() }.register(metrics.registry)
         Gauge.builder("cassiaspindle.executors.longest.wait.ms", executorMonitor) {
             it.longestDelayMilliseconds.toDouble()
@@ -225,7 +242,6 @@
                     connectionPool,
                     protocol.backEnds,
                     StallDetector(connectionPool, protocol.backEnds, clock.monotonicMilliseconds),
-                    settings.stallMilliseconds,
                     clock.monotonicMilliseconds,
                 ),
                 backoffs = backoffs,
@@ -236,6 +252,7 @@
                 protocol = protocol.callers,
                 log = log,
                 metrics = metrics,
+                stallTimeoutMilliseconds = settings.stallMilliseconds,
                 now = clock.monotonicMilliseconds,
                 onLossEvidence = lossReporter::handleEvidence,
             ),
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptExecutor.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptExecutor.kt
@@ -7,6 +7,7 @@
 import cassiaspindle.relay.placement.OrderResult
 import cassiaspindle.relay.request.AttemptFailure
 import cassiaspindle.relay.route.LayerChain
+import cassiaspindle.transport.relay.BufferBudget
 import cassiaspindle.transport.relay.BufferedRequest
 import cassiaspindle.transport.relay.RunnerConnection
 import cassiaspindle.transport.relay.RunnerConnectionPool
@@ -18,9 +19,6 @@
 /** Maximum size of a response that is read into memory, in bytes. */
 private const val MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024
 
-/** Added to the runners' own stall timeout to get the silence after which a response counts as broken. */
-private const val SILENCE_MARGIN_MILLISECONDS = 500L
-
 /** Time limit for a runner to accept a reroute order, in milliseconds. */
 private const val REROUTE_TIMEOUT_MILLISECONDS = 400L
 
@@ -31,7 +29,7 @@
     val context: BackEndCallContext,
     /** Host and port of the backend server. */
     val address: String,
-    /** Time for which a plain service may send nothing, in milliseconds. */
+    /** Time without progress after which the attempt fails, in milliseconds. */
     val silenceTimeoutMilliseconds: Long,
     /** Reroutes the request around the runner that it waits for; returns false if that fails. */
     val rerouteAround: suspend (address: String) -> Boolean,
@@ -67,7 +65,6 @@
     private val connectionPool: RunnerConnectionPool,
     private val protocol: BackEndProtocol,
     private val detector: StallDetector,
-    private val stallTimeoutMilliseconds: Long,
     private val now: () -> Long,
 ) {
     /**
@@ -75,13 +72,14 @@
      * the caller disconnects.
      */
     suspend fun <Result> execute(attempt: AttemptRequest, use: suspend (AttemptResult) -> Result): Result {
+        val reservation = connectionPool.bufferBudget.newReservation()
         var connection: RunnerConnection? = null
         var idleTimeout: Long? = null
         try {
             val result = try {
                 val opened = connectionPool.acquireIdle(attempt.address) ?: connectionPool.open(attempt.address)
                 connection = opened
-                exchange(opened, attempt)
+                exchange(opened, attempt, reservation)
             } catch (problem: IOException) {
                 notSentResult(attempt, problem)
             }
@@ -89,16 +87,21 @@
             idleTimeout = connection?.takeIf { it.isReusable }?.let { idleTimeoutOf(result) }
             return value
         } finally {
+            reservation.close()
             val timeout = idleTimeout
             if (timeout != null) connection?.let { connectionPool.release(it, timeout) } else connection?.close()
         }
     }
 
-    private suspend fun exchange(connection: RunnerConnection, attempt: AttemptRequest): AttemptResult = try {
+    private suspend fun exchange(
+        connection: RunnerConnection,
+        attempt: AttemptRequest,
+        reservation: BufferBudget.Reservation,
+    ): AttemptResult = try {
         val request: BufferedRequest = protocol.writeRequest(attempt.request, attempt.context, attempt.body)
         withTimeoutOrNull(attempt.context.remainingMilliseconds) {
             connection.send(request)
-            receive(connection, attempt)
+            receive(connection, attempt, reservation)
         } ?: AttemptResult.Failed(AttemptFailure.Interrupted, reason = "no_answer_in_time", faultyAddress = null)
     } catch (problem: StalledException) {
         AttemptResult.Failed(AttemptFailure.Interrupted, reason = "stalled", problem.faultyAddress, isStalled = true)
@@ -108,7 +111,11 @@
         interruptedResult(attempt, "no_http_answer:${problem.javaClass.simpleName}")
     }
 
-    private suspend fun receive(connection: RunnerConnection, attempt: AttemptRequest): AttemptResult {
+    private suspend fun receive(
+        connection: RunnerConnection,
+        attempt: AttemptRequest,
+        reservation: BufferBudget.Reservation,
+    ): AttemptResult {
         val reader = readerFor(attempt)
         val head = protocol.readResponseHead(reader.await { connection.readHead() })
         return when {
@@ -117,8 +124,8 @@
             head.requestId == null && !connection.isFirstExchange -> interruptedResult(attempt, "answer_for_no_request")
             head.isSuccess && !head.isTrustworthy -> interruptedResult(attempt, "unsigned_success")
             head.isSuccess && head.isEventStream ->
-                startStream(EventStreamReader(head, connection, reader), attempt)
-            else -> readComplete(connection, head, attempt)
+                startStream(EventStreamReader(head, connection, reader, reservation), attempt)
+            else -> readComplete(head, connection.readWholeBody(MAXIMUM_RESPONSE_BYTES, reservation), attempt)
         }
     }
 
@@ -132,12 +139,10 @@
     /** Only in a chain can the request wait for a runner other than the one that it was sent to. */
     private fun readerFor(attempt: AttemptRequest): StallAwareReader {
         val deadline = now() + attempt.context.remainingMilliseconds
-        return if (attempt.context.chain == null) {
-            StallAwareReader(attempt.silenceTimeoutMilliseconds, { deadline - now() }, findLostRunner = { null })
-        } else {
-            StallAwareReader(stallTimeoutMilliseconds + SILENCE_MARGIN_MILLISECONDS, { deadline - now() }) {
-                detector.findLostRunner(attempt.address, attempt.request.id)?.takeUnless { attempt.rerouteAround(it) }
-            }
+        return StallAwareReader(attempt.silenceTimeoutMilliseconds, { deadline - now() }) {
+            attempt.context.chain
+                ?.let { detector.findLostRunner(attempt.address, attempt.request.id) }
+                ?.takeUnless { attempt.rerouteAround(it) }
         }
     }
 
@@ -148,12 +153,8 @@
         return response?.let { protocol.readOrderResult(it.head) } in setOf(OrderResult.ACCEPTED, OrderResult.DONE)
     }
 
-    private suspend fun readComplete(
-        connection: RunnerConnection,
-        head: BackEndResponseHead,
-        attempt: AttemptRequest,
-    ): AttemptResult {
-        val complete = AttemptResult.Complete(head, connection.readWholeBody(MAXIMUM_RESPONSE_BYTES))
+    private fun readComplete(head: BackEndResponseHead, body: ByteArray, attempt: AttemptRequest): AttemptResult {
+        val complete = AttemptResult.Complete(head, body)
         return when {
             head.isSuccess -> complete
             head.isNotRun -> failedResult(AttemptFailure.NotRun, complete, attempt)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/ErrorResponse.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/ErrorResponse.kt
@@ -32,8 +32,12 @@
     respond(ResponseHead(status.value, status.description, headers), body.encodeToByteArray())
 }
 
-private fun retryAfterMilliseconds(code: ResultCode): Long =
-    if (code == ResultCode.OVERLOADED) OVERLOADED_RETRY_DELAY_MILLISECONDS else NO_BACK_END_RETRY_DELAY_MILLISECONDS
+/** Another entry VM can serve the request of a caller that is refused by a stopping one at once. */
+private fun retryAfterMilliseconds(code: ResultCode): Long = when (code) {
+    ResultCode.DRAINING -> 0
+    ResultCode.OVERLOADED -> OVERLOADED_RETRY_DELAY_MILLISECONDS
+    else -> NO_BACK_END_RETRY_DELAY_MILLISECONDS
+}
 
 /** The status of a refused or failed request; 503 states that it did not run and will not run. */
 internal fun statusOf(code: ResultCode): HttpStatusCode = when (code) {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/EventStreamReader.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/EventStreamReader.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.daemon.relay.request
 
 import cassiaspindle.daemon.relay.protocol.BackEndResponseHead
+import cassiaspindle.transport.relay.BufferBudget
 import cassiaspindle.transport.relay.RunnerConnection
 import cassiaspindle.transport.relay.ServerSentEvent
 import cassiaspindle.transport.relay.ServerSentEventSplitter
@@ -24,15 +25,20 @@
     val head: BackEndResponseHead,
     private val connection: RunnerConnection,
     private val reader: StallAwareReader,
+    /** Holds the bytes of an incomplete event. */
+    private val reservation: BufferBudget.Reservation,
 ) {
     private val splitter = ServerSentEventSplitter()
     private val events = ArrayDeque<ServerSentEvent>()
 
     /** Reads until a complete event is buffered; returns false if the stream ends first. */
     suspend fun awaitEvent(): Boolean {
+        if (events.isNotEmpty()) return true
+        val wait = reader.ProgressWait()
         while (events.isEmpty()) {
-            val bytes = readBytes() ?: return false
+            val bytes = readBytes(wait) ?: return false
             events.addAll(splitter.append(bytes))
+            reservation.resize(splitter.pendingBytes.toLong())
         }
         return true
     }
@@ -45,9 +51,9 @@
         StreamReadResult.Interrupted(problem.message.orEmpty(), (problem as? StalledException)?.faultyAddress)
     }
 
-    private suspend fun readBytes(): ByteArray? {
-        val bytes = reader.awaitRetryable { connection.readBody() }
-        if (bytes == null && splitter.hasPartialEvent) throw EOFException("the stream ended within an event")
+    private suspend fun readBytes(wait: StallAwareReader.ProgressWait): ByteArray? {
+        val bytes = wait.await { connection.readBody() }
+        if (bytes == null && splitter.pendingBytes > 0) throw EOFException("the stream ended within an event")
         return bytes
     }
 }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.relay.request.AttemptContext
 import cassiaspindle.relay.request.AttemptFailure
 import cassiaspindle.relay.request.NextStep
+import cassiaspindle.relay.request.chainSilenceTimeoutMilliseconds
 import cassiaspindle.relay.request.silenceTimeoutMilliseconds
 import cassiaspindle.relay.request.stepAfterDeadline
 import cassiaspindle.relay.request.stepAfterFailure
@@ -68,7 +69,7 @@
             relayed.body,
             relayed.contextFor(choice, remainingMilliseconds, lastEventId),
             choice.backEnd.address,
-            silenceTimeoutMilliseconds(context),
+            silenceTimeoutFor(choice),
             attemptRoute::rerouteAround,
         )
         logger.logAttemptStart(choice, attempts, remainingMilliseconds, lastEventId)
@@ -86,6 +87,12 @@
         }
     }
 
+    private fun silenceTimeoutFor(choice: RouteChoice): Long = if (choice.chain == null) {
+        silenceTimeoutMilliseconds(context)
+    } else {
+        chainSilenceTimeoutMilliseconds(admitted.route, dependencies.stallTimeoutMilliseconds)
+    }
+
     /** Forwards a complete response, unless the stream to the caller has started: then only events may follow. */
     private suspend fun respondComplete(result: AttemptResult.Complete): NextStep? {
         if (streamWriter != null) return NextStep.BreakOff
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRequestHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRequestHandler.kt
@@ -1,21 +1,27 @@
 package cassiaspindle.daemon.relay.request
 
+import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.daemon.relay.protocol.CallerProtocol
 import cassiaspindle.daemon.relay.protocol.CallerRequest
 import cassiaspindle.transport.http.server.Metrics
+import cassiaspindle.transport.relay.BufferBudgetExceededException
 import cassiaspindle.transport.relay.Header
 import cassiaspindle.transport.relay.RelayCall
 import cassiaspindle.transport.relay.RequestHead
 import cassiaspindle.transport.relay.firstValue
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.map
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
+import com.github.michaelbull.result.toResultOr
 import kotlinx.coroutines.CancellationException
-import java.util.concurrent.atomic.AtomicBoolean
-import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReference
 
 /** Bytes of a header line besides its name and value. */
 private const val HEADER_OVERHEAD_BYTES = 4
@@ -31,30 +37,41 @@
     val metrics: Metrics,
 )
 
+/** What a process does with new requests. */
+private enum class ServingPhase {
+    SERVING,
+
+    /** The process is stopping: requests are served, and callers are asked to close their connections. */
+    DRAINING,
+
+    /** The process is about to close its connections: new requests are refused. */
+    REFUSING,
+}
+
 /** Handles the requests of callers: decodes, checks and relays them, or responds with an error. */
 internal class RelayRequestHandler(private val dependencies: RelayRequestHandlerDependencies) {
-    private val isDraining = AtomicBoolean()
-    private val inFlightCount = AtomicInteger()
+    private val phase = AtomicReference(ServingPhase.SERVING)
 
-    val inFlight: Int get() = inFlightCount.get()
+    /** The requests in flight. */
+    val inFlight = InFlightRequests()
 
     /** Makes further responses ask callers to close their connections. */
-    fun drain() = isDraining.set(true)
+    fun drain() = phase.set(ServingPhase.DRAINING)
+
+    /** Refuses further requests as not run; those in flight go on. */
+    fun refuseNewRequests() = phase.set(ServingPhase.REFUSING)
 
     /** Headers that ask the caller to close the connection; empty unless this entry VM is stopping. */
-    fun closingHeaders(): List<Header> = if (isDraining.get()) listOf(Header("Connection", "close")) else emptyList()
+    private fun closingHeaders(): List<Header> =
+        if (phase.get() == ServingPhase.SERVING) emptyList() else listOf(Header("Connection", "close"))
 
     /** Handles one request. */
-    suspend fun handle(call: RelayCall) {
-        inFlightCount.incrementAndGet()
-        val head = call.head
+    suspend fun handle(call: RelayCall) = inFlight.track {
         try {
-            handleHead(call, head)
+            handleHead(call, call.head)
         } catch (cancellation: CancellationException) {
-            dependencies.log.write("caller_gone", "target" to head.target)
+            dependencies.log.write("caller_gone", "target" to call.head.target)
             throw cancellation
-        } finally {
-            inFlightCount.decrementAndGet()
         }
     }
 
@@ -76,16 +93,25 @@
     }
 
     private suspend fun handleBody(call: RelayCall, request: CallerRequest, maximumBytes: Int) {
-        val body = call.readBody(maximumBytes)
-        if (body == null) {
-            refuse(call, ErrorResponse(ResultCode.TOO_LARGE, request.id), "limit=$maximumBytes")
-            return
-        }
-        dependencies.admission.admit(request)
-            .onSuccess { dependencies.relay.relay(call, it, body, closingHeaders()) }
+        readBody(call, maximumBytes)
+            .andThen { body -> admit(request).map { it to body } }
+            .onSuccess { (admitted, body) -> dependencies.relay.relay(call, admitted, body, closingHeaders()) }
             .onFailure { refuse(call, ErrorResponse(it.code, request.id), it.detail) }
     }
 
+    private suspend fun readBody(call: RelayCall, maximumBytes: Int): Result<ByteArray, Failure> = try {
+        call.readBody(maximumBytes).toResultOr { Failure(ResultCode.TOO_LARGE, "limit=$maximumBytes") }
+    } catch (exceeded: BufferBudgetExceededException) {
+        Err(Failure(ResultCode.OVERLOADED, exceeded.message.orEmpty()))
+    }
+
+    private fun admit(request: CallerRequest): Result<AdmittedRequest, Failure> =
+        if (phase.get() == ServingPhase.REFUSING) {
+            Err(Failure(ResultCode.DRAINING, "the grace period is nearly over"))
+        } else {
+            dependencies.admission.admit(request)
+        }
+
     private suspend fun refuse(call: RelayCall, error: ErrorResponse, detail: String) {
         dependencies.metrics.count(error.code)
         dependencies.log.write(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
@@ -20,6 +20,8 @@
     val protocol: CallerProtocol,
     val log: EventLog,
     val metrics: Metrics,
+    /** Time after which the runners of a chain end work that waits for a lost one, in milliseconds. */
+    val stallTimeoutMilliseconds: Long,
     val now: () -> Long,
     /** Handles evidence that the backend server at an address is lost; must not block. */
     val onLossEvidence: (address: String, LossEvidence) -> Unit,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/StallAwareReader.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/StallAwareReader.kt
@@ -5,18 +5,18 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 
-/** Time without data after which the request is checked for a stall, in milliseconds. */
+/** Time without progress after which the request is checked for a stall, in milliseconds. */
 private const val STALL_CHECK_INTERVAL_MILLISECONDS = 400L
 
 /** The request waits for the lost runner at [faultyAddress]. */
 internal class StalledException(val faultyAddress: String) : IOException("the request waits for $faultyAddress")
 
 /**
- * Waits for data from a backend server.
+ * Waits for progress of a backend server.
  *
- * After some time without data, [findLostRunner] returns the lost runner that the request waits for, or null. The wait
- * fails if there is such a runner, after [silenceTimeoutMilliseconds] without data, or once [remainingMilliseconds]
- * returns no more time.
+ * After some time without progress, [findLostRunner] returns the lost runner that the request waits for, or null. The
+ * wait fails if there is such a runner, after [silenceTimeoutMilliseconds] without progress, or once
+ * [remainingMilliseconds] returns no more time.
  */
 internal class StallAwareReader(
     private val silenceTimeoutMilliseconds: Long,
@@ -34,15 +34,30 @@
     }
 
     /** Like [await], for a [read] that consumes nothing before it has a value, so that it can be retried. */
-    suspend fun <Value> awaitRetryable(read: suspend () -> Value): Value {
-        var waitedMilliseconds = 0L
-        var result = readOnce(read)
-        while (result == null) {
-            waitedMilliseconds += STALL_CHECK_INTERVAL_MILLISECONDS
-            failureAfter(waitedMilliseconds)?.let { throw it }
-            result = readOnce(read)
+    suspend fun <Value> awaitRetryable(read: suspend () -> Value): Value = ProgressWait().await(read)
+
+    /** A wait for one step of progress, such as a whole event, for which several reads may be necessary. */
+    inner class ProgressWait {
+        private val startRemainingMilliseconds = remainingMilliseconds()
+        private var nextCheckMilliseconds = STALL_CHECK_INTERVAL_MILLISECONDS
+
+        private val waitedMilliseconds: Long get() = startRemainingMilliseconds - remainingMilliseconds()
+
+        /** Returns the value of [read], like [awaitRetryable]. */
+        suspend fun <Value> await(read: suspend () -> Value): Value {
+            var result = readUntilCheck(read)
+            while (result == null) {
+                failureAfter(waitedMilliseconds)?.let { throw it }
+                nextCheckMilliseconds = waitedMilliseconds + STALL_CHECK_INTERVAL_MILLISECONDS
+                result = readUntilCheck(read)
+            }
+            return result.value
+        }
+
+        private suspend fun <Value> readUntilCheck(read: suspend () -> Value): Completed<Value>? {
+            val timeLeft = minOf(nextCheckMilliseconds - waitedMilliseconds, remainingMilliseconds())
+            return if (timeLeft > 0) readOnce(timeLeft, read) else null
         }
-        return result.value
     }
 
     /** The reason why the wait fails after [waitedMilliseconds], or null if it continues. */
@@ -51,19 +66,16 @@
             IOException("the request deadline has passed")
         } else {
             findLostRunner()?.let(::StalledException)
-                ?: IOException("no data within $silenceTimeoutMilliseconds ms")
+                ?: IOException("no progress within $silenceTimeoutMilliseconds ms")
                     .takeIf { waitedMilliseconds >= silenceTimeoutMilliseconds }
         }
 
     /** A value that arrives just as the time limit passes is not lost. */
-    private suspend fun <Value> readOnce(read: suspend () -> Value): Completed<Value>? {
+    private suspend fun <Value> readOnce(timeoutMilliseconds: Long, read: suspend () -> Value): Completed<Value>? {
         var completed: Completed<Value>? = null
-        withTimeoutOrNull(checkIntervalMilliseconds()) { completed = Completed(read()) }
+        withTimeoutOrNull(timeoutMilliseconds) { completed = Completed(read()) }
         return completed
     }
 
     private class Completed<Value>(val value: Value)
-
-    private fun checkIntervalMilliseconds() =
-        minOf(STALL_CHECK_INTERVAL_MILLISECONDS, maxOf(1, remainingMilliseconds()))
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
@@ -9,6 +9,14 @@
 private const val SILENCE_TIMEOUT_OBJECTIVES = 2
 private const val MINIMUM_SILENCE_TIMEOUT_MILLISECONDS = 400L
 
+/** Time for the runners to report that they ended a stalled request. */
+private const val STALL_MARGIN_MILLISECONDS = 500L
+
+/** A caller leaves after the longest of this time, of these latency objectives and of these gap objectives. */
+private const val MINIMUM_PATIENCE_MILLISECONDS = 2_000L
+private const val PATIENCE_OBJECTIVES = 4
+private const val PATIENCE_GAPS = 8
+
 /** Why an attempt at a backend server produced no complete response. */
 sealed interface AttemptFailure {
     /** No byte of the request was sent to the backend server. */
@@ -52,17 +60,39 @@
     route.kind == RelayRouteKind.IDEMPOTENT || (route.kind == RelayRouteKind.STREAM && route.resumable)
 
 /**
- * Time that an attempt at a plain service waits for a response, in milliseconds.
+ * Longest time without an event after which a caller of [route] still waits for its stream, in milliseconds. A slow
+ * stream is sound until then.
+ */
+fun callerPatienceMilliseconds(route: RelayRoute): Long = maxOf(
+    MINIMUM_PATIENCE_MILLISECONDS,
+    route.objectiveMilliseconds * PATIENCE_OBJECTIVES,
+    route.gapObjectiveMilliseconds * PATIENCE_GAPS,
+)
+
+/**
+ * Time that an attempt at a plain service waits for a response or for the next event of a stream, in milliseconds.
  *
  * It is limited only if the request may be retried and has an attempt left, so that time remains for another server.
  */
 fun silenceTimeoutMilliseconds(context: AttemptContext): Long {
-    val hasNextAttempt = isRetryable(context.route) && context.attempts < context.route.maximumAttempts
+    val route = context.route
+    val hasNextAttempt = isRetryable(route) && context.attempts < route.maximumAttempts
     val timeout =
-        maxOf(MINIMUM_SILENCE_TIMEOUT_MILLISECONDS, context.route.objectiveMilliseconds * SILENCE_TIMEOUT_OBJECTIVES)
-    return if (hasNextAttempt) timeout else Long.MAX_VALUE
+        maxOf(MINIMUM_SILENCE_TIMEOUT_MILLISECONDS, route.objectiveMilliseconds * SILENCE_TIMEOUT_OBJECTIVES)
+    return when {
+        !hasNextAttempt -> Long.MAX_VALUE
+        route.kind == RelayRouteKind.STREAM -> maxOf(timeout, callerPatienceMilliseconds(route))
+        else -> timeout
+    }
 }
 
+/**
+ * Time that an attempt at a chain waits for progress, in milliseconds: longer than [stallTimeoutMilliseconds], after
+ * which the runners themselves end work that waits for a lost one.
+ */
+fun chainSilenceTimeoutMilliseconds(route: RelayRoute, stallTimeoutMilliseconds: Long): Long =
+    maxOf(stallTimeoutMilliseconds + STALL_MARGIN_MILLISECONDS, callerPatienceMilliseconds(route))
+
 /**
  * Decides the step after [failure].
  *
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/request/AttemptDecisionTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/request/AttemptDecisionTest.kt
@@ -67,6 +67,16 @@
         silenceTimeoutMilliseconds(context(nonIdempotentRoute, attempts = 1)) shouldBe Long.MAX_VALUE
     }
 
+    @Test
+    fun `a slow stream is left alone for as long as its caller waits`() {
+        val slow = streamRoute.copy(objectiveMilliseconds = 100, gapObjectiveMilliseconds = 1_000)
+        silenceTimeoutMilliseconds(context(slow, attempts = 1)) shouldBe 8_000
+        chainSilenceTimeoutMilliseconds(slow, stallTimeoutMilliseconds = 2_000) shouldBe 8_000
+        val quick = slow.copy(gapObjectiveMilliseconds = 100)
+        silenceTimeoutMilliseconds(context(quick, attempts = 1)) shouldBe 2_000
+        chainSilenceTimeoutMilliseconds(quick, stallTimeoutMilliseconds = 2_000) shouldBe 2_500
+    }
+
     @Test
     fun `the budget is used up by retries and replenished by requests`() {
         val budget = RetryBudget(RetryLimits(ratio = 0.2, sharedReserve = 60.0, windowMilliseconds = 10_000)) { 60 }
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
@@ -35,7 +35,11 @@
  * this process, is not served at all. A last call (`Connection: close`) does not mean that the caller disconnected:
  * it may still wait for the response.
  */
-internal class CallerConnection(private val socket: Socket, private val handler: CallHandler) {
+internal class CallerConnection(
+    private val socket: Socket,
+    private val bufferBudget: BufferBudget,
+    private val handler: CallHandler,
+) {
     private val input = socket.openReadChannel()
     private val output = socket.openWriteChannel(autoFlush = false)
     private val received = ByteChannel()
@@ -102,16 +106,20 @@
         val framing = requestFraming(head.headers) ?: throw ParserException("body framing headers are invalid")
         val expectsContinue = head.headers.firstValue("expect")?.equals("100-continue", ignoreCase = true) == true
         val body = RequestBody(framing, expectsContinue, received, output)
-        val call = RelayCall(head, body, output)
-        currentCall = call
-        if (!callerDisconnected) handler(call)
-        return call.isResponseComplete && !call.closesConnection &&
-            (body.isFullyRead || body.read(MAXIMUM_DRAINED_BYTES) != null)
+        return bufferBudget.newReservation().use { reservation ->
+            val call = RelayCall(head, body, output, reservation)
+            currentCall = call
+            if (!callerDisconnected) handler(call)
+            call.isResponseComplete && !call.closesConnection &&
+                (body.isFullyRead || body.read(MAXIMUM_DRAINED_BYTES, reservation) != null)
+        }
     }
 
     private suspend fun rejectMalformed() {
         val emptyBody = RequestBody(BodyFraming.Length(0), expectsContinue = false, received, output)
-        RelayCall(RequestHead("", "", emptyList()), emptyBody, output).respond(BAD_REQUEST, ByteArray(0))
+        bufferBudget.newReservation().use {
+            RelayCall(RequestHead("", "", emptyList()), emptyBody, output, it).respond(BAD_REQUEST, ByteArray(0))
+        }
         output.flushAndClose()
     }
 }
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayCall.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayCall.kt
@@ -25,6 +25,8 @@
     val head: RequestHead,
     private val body: RequestBody,
     private val output: ByteWriteChannel,
+    /** Holds the bytes of the body until the call ends. */
+    private val reservation: BufferBudget.Reservation,
 ) {
     /** Whether a complete response has been written. */
     @Volatile
@@ -35,8 +37,11 @@
     internal var closesConnection = head.headers.requestsClose()
         private set
 
-    /** Reads the body; returns null if it is larger than [maximumBytes]. */
-    suspend fun readBody(maximumBytes: Int): ByteArray? = body.read(maximumBytes)
+    /**
+     * Reads the body; returns null if it is larger than [maximumBytes]. Throws [BufferBudgetExceededException] if the
+     * process holds too many bytes.
+     */
+    suspend fun readBody(maximumBytes: Int): ByteArray? = body.read(maximumBytes, reservation)
 
     /** Sends the response head [response] and the body [content]. */
     suspend fun respond(response: ResponseHead, content: ByteArray) {
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
@@ -19,7 +19,11 @@
 typealias CallHandler = suspend (RelayCall) -> Unit
 
 /** The HTTP server of an entry VM, with a handler for each listen address. */
-class RelayServer private constructor(private val scope: CoroutineScope, private val sockets: List<ServerSocket>) {
+class RelayServer private constructor(
+    private val scope: CoroutineScope,
+    private val sockets: List<ServerSocket>,
+    private val bufferBudget: BufferBudget,
+) {
     /** Stops the server and cancels calls in flight. */
     fun close() {
         sockets.forEach(ServerSocket::close)
@@ -27,23 +31,24 @@
     }
 
     private fun accept(socket: ServerSocket, handler: CallHandler) = scope.launch {
-        socket.acceptEach { accepted -> scope.launch { CallerConnection(accepted, handler).serve() } }
+        socket.acceptEach { accepted -> scope.launch { CallerConnection(accepted, bufferBudget, handler).serve() } }
     }
 
     companion object {
         private val logFailure = CoroutineExceptionHandler { _, error -> Logger.error(error, "event=call_failed") }
 
-        /** Starts a server on the addresses in [handlers] as a child of [parent]. */
+        /** Starts a server on the addresses in [handlers] as a child of [parent]; [bufferBudget] limits the bodies. */
         fun start(
             handlers: Map<HostAndPort, CallHandler>,
             selector: SelectorManager,
             parent: CoroutineScope,
+            bufferBudget: BufferBudget,
         ): RelayServer {
             val scope = parent + SupervisorJob(parent.coroutineContext.job) + logFailure
             val sockets = handlers.keys.associateWith { address ->
                 runBlocking { aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true } }
             }
-            val server = RelayServer(scope, sockets.values.toList())
+            val server = RelayServer(scope, sockets.values.toList(), bufferBudget)
             sockets.forEach { (address, socket) -> server.accept(socket, handlers.getValue(address)) }
             return server
         }
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -16,9 +16,10 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancel
+import kotlinx.io.Buffer
 import kotlinx.io.EOFException
 import kotlinx.io.IOException
-import java.io.ByteArrayOutputStream
+import kotlinx.io.readByteArray
 
 private const val BUFFER_BYTES = 8_192
 private const val HTTP_VERSION = "HTTP/1.1"
@@ -93,21 +94,22 @@
         BodyFraming.UntilClose -> readSome(input)
     }
 
-    /** Reads the rest of the body; throws [IOException] if it is incomplete or larger than [maximumBytes]. */
-    suspend fun readWholeBody(maximumBytes: Int): ByteArray {
-        val body = ByteArrayOutputStream()
+    /**
+     * Reads the rest of the body, whose bytes [reservation] holds; throws [IOException] if it is incomplete or larger
+     * than [maximumBytes].
+     */
+    suspend fun readWholeBody(maximumBytes: Int, reservation: BufferBudget.Reservation): ByteArray {
+        val body = Buffer()
         var bytes = readBody()
         while (bytes != null) {
+            if (body.size + bytes.size > maximumBytes) throw IOException("response body exceeds $maximumBytes bytes")
+            reservation.resize(body.size + bytes.size)
             body.write(bytes)
-            if (body.size() > maximumBytes) throw IOException("response body is larger than $maximumBytes bytes")
             bytes = readBody()
         }
-        return body.toByteArray()
+        return body.readByteArray()
     }
 
-    /** Whether the body ends when the connection closes, so that the connection cannot be reused. */
-    val isBodyUntilClose: Boolean get() = framing == BodyFraming.UntilClose
-
     /** Closes the connection; the backend server then cancels its work for it. */
     fun close() {
         decoderScope.cancel()
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnectionPool.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnectionPool.kt
@@ -22,7 +22,12 @@
 private const val MAXIMUM_RESPONSE_BYTES = 1024 * 1024
 
 /** Pool of idle connections to backend servers, sharded by address. */
-class RunnerConnectionPool(private val selector: SelectorManager, private val now: () -> Long) {
+class RunnerConnectionPool(
+    private val selector: SelectorManager,
+    /** Limits the bytes of all responses that are held in memory. */
+    val bufferBudget: BufferBudget,
+    private val now: () -> Long,
+) {
     private val shards = Sharded(SHARDS) { mutableMapOf<String, ArrayDeque<IdleConnection>>() }
     private val openedCount = AtomicLong()
 
@@ -61,12 +66,6 @@
         }
     }
 
-    /** Closes all idle connections to [address]. */
-    fun closeIdle(address: String) {
-        val closing = shards.withKey(address) { it.remove(address) }
-        closing?.forEach { it.connection.close() }
-    }
-
     /** Sends [request] on a new connection; returns null if it fails or takes longer than [timeoutMilliseconds]. */
     suspend fun exchangeOnNewConnection(
         address: String,
@@ -87,7 +86,9 @@
 
     private suspend fun exchange(connection: RunnerConnection, request: BufferedRequest): BufferedResponse = try {
         connection.send(request)
-        BufferedResponse(connection.readHead(), connection.readWholeBody(MAXIMUM_RESPONSE_BYTES))
+        bufferBudget.newReservation().use {
+            BufferedResponse(connection.readHead(), connection.readWholeBody(MAXIMUM_RESPONSE_BYTES, it))
+        }
     } finally {
         connection.close()
     }
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/ServerSentEventSplitter.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/ServerSentEventSplitter.kt
@@ -7,7 +7,7 @@
 private const val ID_FIELD = "id:"
 
 /** Maximum size of the buffered part of a stream, in bytes. */
-private const val MAXIMUM_EVENT_BYTES = 1024 * 1024
+private const val MAXIMUM_EVENT_BYTES = 256 * 1024
 
 /** A complete event of a stream: its bytes, including the blank line that ends it, and its id, if any. */
 data class ServerSentEvent(val bytes: ByteArray, val id: String?) {
@@ -21,8 +21,8 @@
 class ServerSentEventSplitter {
     private var pending = ByteArray(0)
 
-    /** Whether bytes of an incomplete event are buffered. */
-    val hasPartialEvent: Boolean get() = pending.isNotEmpty()
+    /** Number of buffered bytes of an incomplete event. */
+    val pendingBytes: Int get() = pending.size
 
     /** Appends [bytes] and returns the events that are now complete; throws [IOException] if an event is too large. */
     fun append(bytes: ByteArray): List<ServerSentEvent> {
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -35,6 +35,7 @@
         mapOf(HostAndPort("127.0.0.1", port) to ::serve),
         selector,
         CoroutineScope(SupervisorJob() + Dispatchers.Default),
+        BufferBudget(maximumBytes = 1_000_000),
     )
 
     private suspend fun serve(call: RelayCall) = when (call.head.target) {
@@ -128,7 +129,7 @@
     fun `a closed server leaves no coroutine running`() {
         val parent = CoroutineScope(SupervisorJob() + Dispatchers.Default)
         val free = ServerSocket(0).use { it.localPort }
-        val closed = RelayServer.start(mapOf(HostAndPort("127.0.0.1", free) to ::serve), selector, parent)
+        val closed = RelayServer.start(mapOf(HostAndPort("127.0.0.1", free) to ::serve), selector, parent, BufferBudget(0))
         val running = parent.coroutineContext.job.children.toList()
         closed.close()
         runBlocking { withTimeoutOrNull(5_000) { running.joinAll() } } shouldNotBe null
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/ServerSentEventSplitterTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/ServerSentEventSplitterTest.kt
@@ -13,7 +13,7 @@
             val events = stream.chunked(size).flatMap { splitter.append(it.encodeToByteArray()) }
             events.map { it.id } shouldBe listOf("1", "2", null)
             events.joinToString("") { it.bytes.decodeToString() } shouldBe stream.removeSuffix("id: 4\nda")
-            splitter.hasPartialEvent shouldBe true
+            (splitter.pendingBytes > 0) shouldBe true
         }
     }
 
@@ -21,6 +21,6 @@
     fun `nothing is buffered after a complete event`() {
         val splitter = ServerSentEventSplitter()
         splitter.append("data: a\n\n".encodeToByteArray()).size shouldBe 1
-        splitter.hasPartialEvent shouldBe false
+        splitter.pendingBytes shouldBe 0
     }
 }
