Let a leader that restarts be elected at once, since its own restart has ended its lease

The wait guards a lease that a replica may have acknowledged before it restarted. The leader of the newest term knows that this lease is over: it held it itself. A replica now records that it led its term (HardState.led, in the write of the term's first entry). After a restart it asks for votes at once, repeats that four times an election timeout while others start, and names the term it led (ReplicationMessage.endedTerm); a voter whose term is not newer need not wait. A leader of an earlier term can hold no lease either: its lease had ended when the newer leader was elected, and the majority that elected it acknowledges no older term. A replica that voted for itself without winning, or whose record was lost, waits as before. A replica that was only suspended has not restarted and claims nothing.

Ruled out: that the last entry's term proves it (the replica may have voted for itself in a term that another one won).

--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Election.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Election.kt
@@ -10,7 +10,7 @@
  *
  * A pre-vote changes no term and no vote, so that a replica that returns from a partition can't depose a healthy
  * leader. A replica grants neither pre-votes nor votes within one election timeout of its own start or of the last
- * append or snapshot from a leader.
+ * append or snapshot from a leader, unless the candidate led the newest term that this replica knows and has restarted.
  */
 internal class Election(private val state: ReplicaState, private val leadership: Leadership) {
     private val grantedBy = mutableSetOf<Replica>()
@@ -19,7 +19,7 @@
     private var electionRound = 0L
 
     fun startPreVote(nowMilliseconds: Long, output: OutputCollector) {
-        state.resetElectionTimer(nowMilliseconds)
+        state.resetElectionTimerAfterAttempt(nowMilliseconds)
         if (!state.isVoter) return
         state.role = Role.PRE_CANDIDATE
         state.leader = null
@@ -46,14 +46,14 @@
     }
 
     private fun replyToPreVote(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
-        val grant = !mayHaveLeader(nowMilliseconds) &&
+        val grant = !mayHaveLeader(message, nowMilliseconds) &&
             message.term >= state.term &&
             state.isUpToDate(message.lastIndex, message.lastTerm)
         output.send(output.reply(ReplicationKind.PRE_VOTE_REPLY, message, grant))
     }
 
     private fun replyToVote(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
-        if (mayHaveLeader(nowMilliseconds) || message.term < state.term) {
+        if (mayHaveLeader(message, nowMilliseconds) || message.term < state.term) {
             output.send(output.reply(ReplicationKind.VOTE_REPLY, message, granted = false))
             return
         }
@@ -98,9 +98,14 @@
             .filter { it != state.self }
             .map { output.message(kind, it) }
             .map { it.copy(lastIndex = state.log.lastIndex, lastTerm = state.log.lastTerm, round = electionRound) }
+            .map { it.copy(endedTerm = state.endedTerm) }
             .forEach(send)
     }
 
-    private fun mayHaveLeader(nowMilliseconds: Long): Boolean =
-        nowMilliseconds < state.noVoteBeforeMilliseconds || leadership.holdsLease(nowMilliseconds)
+    /** Whether a leader may hold a lease that this replica has acknowledged, or that it holds itself. */
+    private fun mayHaveLeader(request: ReplicationMessage, nowMilliseconds: Long): Boolean {
+        val isLeaseEnded = request.endedTerm > 0 && state.term <= request.endedTerm
+        val mayHoldLease = nowMilliseconds < state.noVoteBeforeMilliseconds || leadership.holdsLease(nowMilliseconds)
+        return mayHoldLease && !isLeaseEnded
+    }
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
@@ -25,6 +25,7 @@
     fun becomeLeader(nowMilliseconds: Long, output: OutputCollector) {
         state.role = Role.LEADER
         state.leader = state.self
+        output.setHardState(state.hardState.copy(led = true))
         leaderSinceMilliseconds = nowMilliseconds
         progress.reset()
         append(ControlCommand(ControlCommandKind.NO_OPERATION), nowMilliseconds, output)
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
@@ -45,13 +45,19 @@
     var unsyncedWrites = 0
     var membership = log.membership
 
+    /**
+     * The term that this replica led before it restarted, or 0. No leader of this term or an earlier one holds a lease:
+     * the lease of the term ended with the old process, and those before it had ended when the term began.
+     */
+    val endedTerm = if (hardState.led) hardState.term else 0L
+
     /** No vote is granted before this time: the replica may have acknowledged a leader whose lease is still valid. */
     var noVoteBeforeMilliseconds = startedMilliseconds + settings.electionTimeoutMilliseconds
     var electionDeadlineMilliseconds = 0L
 
     init {
         stateMachine.restore(initialState.snapshot.state)
-        resetElectionTimer(startedMilliseconds)
+        if (endedTerm > 0) electionDeadlineMilliseconds = startedMilliseconds else resetElectionTimer(startedMilliseconds)
     }
 
     val term: Long get() = hardState.term
@@ -62,6 +68,13 @@
 
     fun quorum(): Int = membership.voters.size / 2 + 1
 
+    /** Sets the time of the next attempt at an election; a restarted leader soon repeats one that was not answered. */
+    fun resetElectionTimerAfterAttempt(nowMilliseconds: Long) {
+        resetElectionTimer(nowMilliseconds)
+        val isFreshRestart = endedTerm == term && nowMilliseconds < noVoteBeforeMilliseconds
+        if (isFreshRestart) electionDeadlineMilliseconds = nowMilliseconds + settings.restartElectionIntervalMilliseconds
+    }
+
     fun resetElectionTimer(nowMilliseconds: Long) {
         val timeout = settings.electionTimeoutMilliseconds
         electionDeadlineMilliseconds = nowMilliseconds + timeout + random(timeout.toInt())
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
@@ -8,6 +8,7 @@
 private const val DEFAULT_MAXIMUM_VOTERS = 7
 private const val DEFAULT_VOTER_LOSS_TIMEOUT_MILLISECONDS = 3_000L
 private const val HEARTBEATS_PER_ELECTION_TIMEOUT = 3L
+private const val RESTART_ELECTIONS_PER_ELECTION_TIMEOUT = 4L
 private const val ONE_IN_PER_MILLE = 1_000L
 
 /** Settings of one group on one replica; times in milliseconds. */
@@ -28,6 +29,10 @@
     /** Interval between two rounds of appends of the leader. */
     val heartbeatMilliseconds: Long get() = electionTimeoutMilliseconds / HEARTBEATS_PER_ELECTION_TIMEOUT
 
+    /** Interval between the elections that a leader attempts after a restart, while other replicas may still start. */
+    val restartElectionIntervalMilliseconds: Long
+        get() = electionTimeoutMilliseconds / RESTART_ELECTIONS_PER_ELECTION_TIMEOUT
+
     /** Time of the next round: the same for all groups, so that their messages share a socket write. */
     fun nextRoundAfter(nowMilliseconds: Long): Long =
         (nowMilliseconds / heartbeatMilliseconds + 1) * heartbeatMilliseconds
--- a/decision/replication/src/test/kotlin/cassiaspindle/replication/ElectionTest.kt
+++ b/decision/replication/src/test/kotlin/cassiaspindle/replication/ElectionTest.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.schema.CommandOutcome
 import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.GroupState
+import cassiaspindle.schema.HardState
 import cassiaspindle.schema.Replica
 import cassiaspindle.schema.ReplicationKind
 import cassiaspindle.schema.ReplicationMessage
@@ -49,6 +50,51 @@
         replica().receive(request, TIMEOUT).messages.single().granted shouldBe true
     }
 
+    @Test
+    fun `a restarted leader is elected at once, since the lease that it held has ended`() {
+        val restarted = replica(HardState(term = 4, votedFor = self, led = true))
+        val preVote = restarted.tick(0).messages.first { it.to == other }
+        preVote.endedTerm shouldBe 4
+        val voter = replica(HardState(term = 4))
+        voter.receive(preVote.copy(from = other, to = self), 1).messages.single().granted shouldBe true
+        val logWrite = restarted.receive(replyTo(preVote), 2).logWrite.shouldNotBeNull()
+        restarted.persisted(logWrite.syncPoint, 2)
+        val vote = logWrite.messages.first { it.to == other }
+        val granted = voter.receive(vote.copy(from = other, to = self), 3).logWrite.shouldNotBeNull()
+        granted.messages.single().granted shouldBe true
+        restarted.receive(replyTo(vote), 4)
+        restarted.isLeader shouldBe true
+    }
+
+    @Test
+    fun `a restarted leader repeats its election while the others start`() {
+        val restarted = replica(HardState(term = 4, votedFor = self, led = true))
+        val attempts = (0L until TIMEOUT step 25).count { restarted.tick(it).messages.isNotEmpty() }
+        attempts shouldBe 4
+    }
+
+    @Test
+    fun `the end of one lease is no reason to vote while a leader of a later term may hold another`() {
+        val voter = replica(HardState(term = 5))
+        val request = message(ReplicationKind.PRE_VOTE, term = 5).copy(lastIndex = 9, lastTerm = 4, endedTerm = 4)
+        voter.receive(request, 1).messages.single().granted shouldBe false
+        val vote = message(ReplicationKind.VOTE, term = 6).copy(lastIndex = 9, lastTerm = 4, endedTerm = 4)
+        voter.receive(vote, 1).messages.single().granted shouldBe false
+    }
+
+    @Test
+    fun `a replica that voted for itself but did not lead waits after a restart`() {
+        replica(HardState(term = 4, votedFor = self)).tick(TIMEOUT - 1).messages shouldBe emptyList()
+    }
+
+    @Test
+    fun `a replica records that it leads`() {
+        val replica = replica()
+        val request = startElection(replica, nowMilliseconds = 1_000)
+        val logWrite = replica.receive(replyTo(request), 1_001).logWrite.shouldNotBeNull()
+        logWrite.records.mapNotNull { it.hardState } shouldBe listOf(HardState(term = 1, votedFor = self, led = true))
+    }
+
     /** Wins the pre-vote, reports the own vote as synced and returns the vote request to [other]. */
     private fun startElection(replica: GroupReplica, nowMilliseconds: Long): ReplicationMessage {
         val preVote = replica.tick(nowMilliseconds).messages.first { it.to == other }
@@ -66,9 +112,9 @@
     private fun message(kind: ReplicationKind, term: Long) =
         ReplicationMessage(kind, group = 0, from = other, to = self, term = term)
 
-    private fun replica() = GroupReplica(
+    private fun replica(hardState: HardState = HardState(term = 0)) = GroupReplica(
         ReplicationSettings(group = 0, self = self, electionTimeoutMilliseconds = TIMEOUT),
-        PersistentGroupState.empty(GroupMembership(voters)),
+        PersistentGroupState.empty(GroupMembership(voters)).copy(hardState = hardState),
         stateMachine,
         random = { 0 },
         startedMilliseconds = 0,
