Halve the frames at rest: presence to one replica, which relays it; pings asked for by clients

In a real-time run of 30 processes on loopback (5 with disks, one processor each) an entry VM without a disk took 2.7 % of a core doing nothing, a replica 10 %; a flight recording shows frames (CBOR, coroutine switches, a timer for each frame read and written). Each entry VM sent its presence to every replica 2.5 times a second, exchanged memberships with all of them every 1.5 s, and both ends of each connection pinged twice a second.

Change: a presence report goes to the followed replica, and to all when readiness changes, when the followed replica does not reply, and in each fifth report (PresenceReceivers). Replicas relay what they received to each other twice a second, each presence once, so that a relay never keeps a lost entry VM alive; the lease is 1.5 s (1.3). Memberships are exchanged with one peer after the other. A client pings (each second without a disk), the server replies. A connection is watched by one timer instead of two for each frame.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -54,6 +54,7 @@
             isLeader = ::isLeader,
             hasLeader = { supervisor.replica?.driver?.controlReplica?.documentGroupStatus()?.leader != null },
             heartbeatMilliseconds = settings.heartbeatMilliseconds,
+            relayPresences = dependencies.replicaConnections::relayPresences,
         ),
     )
     private val frameHandler = ReplicaFrameHandler(
@@ -91,11 +92,16 @@
     /** Replaces the seed addresses. */
     fun replaceSeeds(seeds: List<String>) = replicaDiscovery.replaceSeeds(seeds)
 
-    /** Exchanges presence frames with all connected peers, and connects to the known replicas or else to the seeds. */
+    /**
+     * Exchanges presence frames with all connected peers, or with one of them in turn once the replicas are known, and
+     * connects to the known replicas or else to the seeds.
+     */
     fun discoverReplicas() {
         val isDiscovered = replicaDiscovery.hasKnownReplicas && supervisor.replica?.isBootstrapPending != true
-        if (!isDiscovered || discoveryRound.getAndIncrement() % PRESENCE_ROUND_INTERVAL == 0) {
-            dependencies.replicaConnections.sendToAll(presenceFrame())
+        when {
+            !isDiscovered -> dependencies.replicaConnections.sendToAll(presenceFrame())
+            discoveryRound.getAndIncrement() % PRESENCE_ROUND_INTERVAL == 0 ->
+                dependencies.replicaConnections.sendToNext(presenceFrame())
         }
         val replicas = replicaDiscovery.replicaAddresses(supervisor.replica?.driver?.controlReplica?.membership())
         val self = setOfNotNull(settings.peerAddress.takeIf { settings.dataFolder != null })
@@ -154,8 +160,8 @@
     }
 
     private companion object {
-        /** Once the replicas are known, presence frames are sent in one of this many rounds. */
-        const val PRESENCE_ROUND_INTERVAL = 5
+        /** Once the replicas are known, a presence frame is sent in one of this many rounds. */
+        const val PRESENCE_ROUND_INTERVAL = 3
 
         /** Time limit for queued writes at shutdown, in milliseconds. */
         const val REPLICA_CLOSE_TIMEOUT_MILLISECONDS = 300L
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -34,6 +34,7 @@
 import cassiaspindle.schema.RelaySettings
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.peer.HostAndPort
+import cassiaspindle.transport.peer.MAXIMUM_PING_INTERVAL_MILLISECONDS
 import cassiaspindle.transport.peer.PeerSettings
 import cassiaspindle.transport.peer.newSelector
 import cassiaspindle.transport.relay.BufferBudget
@@ -58,6 +59,9 @@
 private const val DISCOVERY_INTERVAL_MILLISECONDS = 300L
 private const val PLACEMENT_INTERVAL_MILLISECONDS = 250L
 private const val PUBLISHER_INTERVAL_MILLISECONDS = 250L
+
+/** Interval of pings between control replicas, in milliseconds: they must notice a lost connection soon. */
+private const val REPLICA_PING_INTERVAL_MILLISECONDS = 500L
 private const val LOG_CLOSE_TIMEOUT_MILLISECONDS = 200L
 private const val MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024
 
@@ -95,6 +99,11 @@
         settings.systemKey,
         MAXIMUM_FRAME_BYTES,
         onSent = metrics::countPeerBytes,
+        pingIntervalMilliseconds = if (settings.dataFolder == null) {
+            MAXIMUM_PING_INTERVAL_MILLISECONDS
+        } else {
+            REPLICA_PING_INTERVAL_MILLISECONDS
+        },
     )
     private val fleetState = FleetState(log, clock.monotonicMilliseconds, protocol.operators.readConfiguration)
     private val replicaConnections = ReplicaConnections(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -12,9 +12,13 @@
 import cassiaspindle.transport.peer.OutgoingFrame
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Time without a presence report after which an entry VM is no longer listed to callers, in milliseconds. */
-private const val PRESENCE_LEASE_MILLISECONDS = 1_300L
+private const val PRESENCE_LEASE_MILLISECONDS = 1_500L
+
+/** Ticks from one relay of presences to the next. */
+private const val TICKS_PER_RELAY = 2
 
 /** Announcement intervals after which a backend server counts as silent. */
 private const val SILENCE_INTERVALS = 3
@@ -33,6 +37,8 @@
     val hasLeader: () -> Boolean,
     /** Interval between two announcements of a backend server, in milliseconds. */
     val heartbeatMilliseconds: Long,
+    /** Relays presences of entry VMs to the other replicas; must not block. */
+    val relayPresences: (List<EntryPresence>) -> Unit,
 )
 
 /**
@@ -43,7 +49,9 @@
     private val presences = PresenceTable(PRESENCE_LEASE_MILLISECONDS)
     private val repairs = EntryRepairTable()
     private val followers = ConcurrentHashMap<String, FrameSender>()
+    private val unrelayedPresences = ConcurrentHashMap<String, EntryPresence>()
     private val isEntryListChanged = AtomicBoolean()
+    private val ticks = AtomicInteger()
 
     init {
         fleetState.addRunnerListener { publish(FleetNews(runners = listOf(it))) }
@@ -55,7 +63,12 @@
      */
     fun receiveEntryPresence(presence: EntryPresence, send: FrameSender) {
         if (presences.offer(presence, environment.now())) isEntryListChanged.set(true)
-        if (presence.follows) followers[presence.name] = send else followers -= presence.name
+        if (presence.follows) {
+            followers[presence.name] = send
+            unrelayedPresences[presence.name] = presence
+        } else {
+            followers -= presence.name
+        }
         val newest = environment.configuration()
         val missingConfiguration = newest?.takeIf { presence.configurationVersion < it.version }
         val differs = missingConfiguration != null || (presence.follows && presence.fleetDigest != fleetDigest())
@@ -69,6 +82,12 @@
         news?.let { send(frameOf(it)) }
     }
 
+    /** Handles [relayed] presences of entry VMs that follow another replica. */
+    fun receiveRelayedPresences(relayed: List<EntryPresence>) = relayed.forEach { presence ->
+        followers -= presence.name
+        if (presences.offer(presence, environment.now())) isEntryListChanged.set(true)
+    }
+
     /** Applies a notice of a backend server, or of an entry VM that found one silent; followers get each change. */
     fun receiveNotice(notice: RunnerNotice) {
         fleetState.applyNotice(if (notice.state == RunnerState.SILENT) silentNoticeOf(notice) else notice)
@@ -92,6 +111,7 @@
     /** Publishes the backend servers that fell silent, and the list of entry VMs if it changed. */
     fun tick() {
         val now = environment.now()
+        if (ticks.incrementAndGet() % TICKS_PER_RELAY == 0) relayPresences()
         val silent = fleetState.runners.markSilent(now, environment.heartbeatMilliseconds * SILENCE_INTERVALS)
         if (silent.isNotEmpty()) publish(FleetNews(runners = silent))
         if (presences.expire(now)) isEntryListChanged.set(true)
@@ -100,6 +120,12 @@
         }
     }
 
+    /** Relays the presences received since the last relay: an entry VM that is lost is not kept alive by relays. */
+    private fun relayPresences() {
+        val relayed = unrelayedPresences.keys.mapNotNull(unrelayedPresences::remove)
+        if (relayed.isNotEmpty()) environment.relayPresences(relayed)
+    }
+
     private fun fleetDigest(): Long = fleetDigestOf(fleetState.runners.digest(), presences.live().digest)
 
     private fun completeNews() = FleetNews(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
@@ -1,6 +1,8 @@
 package cassiaspindle.daemon.relay.fleet
 
 import cassiaspindle.relay.fleet.FollowedReplicaSelector
+import cassiaspindle.relay.fleet.PresenceReceivers
+import cassiaspindle.relay.fleet.PresenceReport
 import cassiaspindle.relay.fleet.ReplicaCandidates
 import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.FleetNews
@@ -8,6 +10,7 @@
 import cassiaspindle.schema.PeerFrameKind
 import cassiaspindle.schema.RunnerNotice
 import cassiaspindle.transport.peer.HostAndPort
+import cassiaspindle.transport.peer.OutgoingFrame
 import cassiaspindle.transport.peer.PeerClient
 import cassiaspindle.transport.peer.PeerSettings
 import io.ktor.network.selector.SelectorManager
@@ -37,6 +40,8 @@
     private val pendingReplies = PendingReplies()
     private val knownReplicas = AtomicReference<Set<String>>(emptySet())
     private val followedReplicaSelector = FollowedReplicaSelector(settings.name)
+    private val presenceReceivers = PresenceReceivers()
+    private val nextPeerIndex = AtomicInteger()
 
     /** Peer addresses of the known control replicas. */
     val replicas: Set<String> get() = knownReplicas.get()
@@ -55,17 +60,32 @@
     fun sendToAll(frame: PeerFrame) = connections.values.forEach { it.client.send(frame) }
 
     /**
-     * Sends the presence of this entry VM to the control replicas. It follows one of them, if possible one of [inZone],
-     * to receive news.
+     * Sends the presence of this entry VM to control replicas. It follows one of them, if possible one of [inZone], to
+     * receive news.
      */
     fun sendPresence(presence: EntryPresence, inZone: Set<String>) {
         val connected = connectedReplicas().toSet()
         val others = connected - presence.name
         val followed = followedReplicaSelector.select(ReplicaCandidates(others.ifEmpty { connected }, inZone, now()))
-        knownReplicas.get().forEach { peer ->
-            val report = presence.copy(follows = peer == followed)
-            send(peer, PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = report))
-        }
+        val isFollowedHeard = followed != null && followedReplicaSelector.isHeard(followed, now())
+        presenceReceivers
+            .select(PresenceReport(knownReplicas.get(), followed, isFollowedHeard, presence.ready))
+            .forEach { peer ->
+                val report = presence.copy(follows = peer == followed)
+                send(peer, PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = report))
+            }
+    }
+
+    /** Relays [presences], which this process has received as a control replica, to the other replicas. */
+    fun relayPresences(presences: List<EntryPresence>) {
+        val frame = OutgoingFrame(PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = FleetNews(entryPresences = presences)))
+        (knownReplicas.get() - settings.name).forEach { connections[it]?.client?.sendShared(frame) }
+    }
+
+    /** Sends [frame] to one connected peer after the other, one at each call. */
+    fun sendToNext(frame: PeerFrame) {
+        val peers = connections.keys.sorted()
+        if (peers.isNotEmpty()) send(peers[Math.floorMod(nextPeerIndex.getAndIncrement(), peers.size)], frame)
     }
 
     /**
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/log/ExecutorMonitor.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/log/ExecutorMonitor.kt
@@ -5,7 +5,7 @@
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
 
-private const val CHECK_INTERVAL_MILLISECONDS = 500L
+private const val CHECK_INTERVAL_MILLISECONDS = 1_000L
 
 /** Delay of a task after which its executor counts as late, in milliseconds. */
 private const val LATE_AFTER_MILLISECONDS = 400L
@@ -21,7 +21,7 @@
 /**
  * Logs when an executor of this process runs its tasks late, and when it recovers.
  *
- * A dedicated thread submits an empty task to each executor twice a second. If one does not run it in time, the log
+ * A dedicated thread submits an empty task to each executor once a second. If one does not run it in time, the log
  * gets an event with its name and the stacks of all threads, and another event once the task has run.
  */
 class ExecutorMonitor(
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
@@ -18,6 +18,7 @@
 class FleetPublisherTest : AnnotationSpec() {
     private val log = EventLog(PrintStream(OutputStream.nullOutputStream())) { 0 }
     private val received = mutableMapOf<String, MutableList<FleetNews>>()
+    private val relayed = mutableListOf<List<EntryPresence>>()
     private var now = 0L
     private var configuration: StoredConfiguration? = null
     private lateinit var publisher: FleetPublisher
@@ -26,6 +27,7 @@
     @BeforeEach
     fun setUp() {
         received.clear()
+        relayed.clear()
         now = 0
         configuration = null
         fleetState = FleetState(log, { now }) { Err(Failure(ResultCode.MALFORMED, "not read here")) }
@@ -35,6 +37,7 @@
             isLeader = { false },
             hasLeader = { true },
             heartbeatMilliseconds = 60_000,
+            relayPresences = { relayed += it },
         )
         publisher = FleetPublisher(fleetState, environment)
     }
@@ -110,6 +113,35 @@
         received.getValue("entry-1").flatMap(FleetNews::runners) shouldBe emptyList()
     }
 
+    @Test
+    fun `a replica relays each presence of its followers once, and another one lists them until they fall silent`() {
+        val other = FleetPublisher(
+            FleetState(log, { now }) { Err(Failure(ResultCode.MALFORMED, "not read here")) },
+            FleetPublisherEnvironment({ now }, { null }, { false }, { true }, 60_000, relayPresences = {}),
+        )
+        val listed = mutableListOf<List<String>>()
+        val follower = EntryPresence("follower", incarnation = 1, "b", "c:9", ready = true, follows = true)
+        var framesToOther = 0
+        (0L..4_000L step 250).forEach { time ->
+            now = time
+            if (time < 2_000) repeat(ENTRIES) { reportPresence(it, follows = it < FOLLOWERS) }
+            publisher.tick()
+            relayed.forEach(other::receiveRelayedPresences)
+            framesToOther += relayed.size
+            relayed.clear()
+            other.receiveEntryPresence(follower) { frame ->
+                frame.frame.fleetNews?.takeIf { it.presencesKnown }?.let { news ->
+                    listed += news.entryPresences.map(EntryPresence::name)
+                }
+                true
+            }
+            other.tick()
+        }
+        framesToOther shouldBe 4
+        listed.maxOf { it.size } shouldBe FOLLOWERS + 1
+        listed.last() shouldBe listOf("follower")
+    }
+
     private companion object {
         const val ENTRIES = 80
         const val FOLLOWERS = 14
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/FollowedReplicaSelector.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/FollowedReplicaSelector.kt
@@ -6,6 +6,9 @@
 /** Time without an update after which a replica counts as silent, in milliseconds. */
 private const val SILENCE_TIMEOUT_MILLISECONDS = 1_000L
 
+/** Time without an update after which a reply is missing, in milliseconds; shorter than two report intervals. */
+private const val REPLY_TIMEOUT_MILLISECONDS = 700L
+
 /** The replicas that an entry VM may follow. */
 data class ReplicaCandidates(
     /** Peer addresses of the other replicas to which a connection is open. */
@@ -40,6 +43,12 @@
         selected
     }
 
+    /** Whether [peer] has sent an update so recently that it has replied to the last reports. */
+    fun isHeard(peer: String, nowMilliseconds: Long): Boolean = shard.withIndex(0) { state ->
+        val last = state.lastUpdates[peer]
+        last != null && last.hearsLeader && nowMilliseconds - last.receivedMilliseconds < REPLY_TIMEOUT_MILLISECONDS
+    }
+
     /** A pseudorandom rank that is the same each time, so that the choice is stable. */
     private fun rank(peer: String): Int = Random("$self/$peer".hashCode()).nextInt()
 
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerClient.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerClient.kt
@@ -35,6 +35,9 @@
     /** Queues [frame]; returns false and drops it if no connection is open or the queue is full. */
     fun send(frame: PeerFrame): Boolean = currentConnection.get()?.send(frame) ?: false
 
+    /** Like [send], for a frame that may also go to other connections. */
+    fun sendShared(frame: OutgoingFrame): Boolean = currentConnection.get()?.sendShared(frame) ?: false
+
     /** Connects and reconnects in [scope] until the returned job is cancelled. */
     fun start(scope: CoroutineScope): Job = scope.launch {
         while (isActive) {
@@ -55,7 +58,7 @@
     }
 
     private suspend fun runConnection(socket: Socket) {
-        val connection = PeerConnection(socket, settings)
+        val connection = PeerConnection(socket, settings, PeerSide.CLIENT)
         try {
             connection.writeAndFlush(PeerFrame(PeerFrameKind.HELLO, sender = settings.name, key = settings.key))
             currentConnection.set(connection)
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
@@ -11,21 +11,41 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 
 private const val QUEUE_CAPACITY_FRAMES = 4_096
+private const val FIRST_FRAME_TIMEOUT_MILLISECONDS = 1_500L
 
-/** Sent on an idle connection; after the first frame of a connection, the receiver ignores hello frames. */
+/** Sent on an idle connection; after the first frame of a connection, hello frames carry nothing. */
 private val ping = OutgoingFrame(PeerFrame(PeerFrameKind.HELLO))
 
+/** The two ends of a connection. */
+internal enum class PeerSide {
+    /** Sends pings when it has nothing else to send. */
+    CLIENT,
+
+    /** Replies to pings, so that a client that is connected to many servers determines what that costs. */
+    SERVER,
+}
+
 /** A connection between two processes of the system. */
-class PeerConnection internal constructor(private val socket: Socket, private val settings: PeerSettings) {
+class PeerConnection internal constructor(
+    private val socket: Socket,
+    private val settings: PeerSettings,
+    private val side: PeerSide,
+) {
     private val input = socket.openReadChannel()
     private val output = socket.openWriteChannel(autoFlush = false)
     private val queue = Channel<OutgoingFrame>(QUEUE_CAPACITY_FRAMES)
+    private val activity = ConnectionActivity(
+        if (side == PeerSide.CLIENT) settings.pingIntervalMilliseconds else MAXIMUM_PING_INTERVAL_MILLISECONDS,
+    )
 
     /** Queues [frame]; returns false and drops it if the connection is closed or the queue is full. */
     fun send(frame: PeerFrame): Boolean = sendShared(OutgoingFrame(frame))
@@ -33,21 +53,21 @@
     /** Like [send], for a frame that may also go to other connections. */
     fun sendShared(frame: OutgoingFrame): Boolean = queue.trySend(frame).isSuccess
 
-    /** Reads the next frame; fails if none arrives within the silence timeout. */
-    internal suspend fun read(): Result<PeerFrame, Failure> =
-        withTimeoutOrNull(settings.silenceTimeoutMilliseconds) { input.readFrame(settings.maximumMessageBytes) }
-            ?: Err(Failure(ResultCode.BACK_END_LOST, "no frame within the silence timeout"))
+    /** Reads the first frame; fails if none arrives in time. */
+    internal suspend fun readFirst(): Result<PeerFrame, Failure> =
+        withTimeoutOrNull(FIRST_FRAME_TIMEOUT_MILLISECONDS) { read() }
+            ?: Err(Failure(ResultCode.BACK_END_LOST, "no frame within the time limit"))
 
-    /** Writes queued frames, or pings if there are none, and passes received frames to [onFrame] until a failure. */
+    /** Writes queued frames and passes received ones to [onFrame] until a failure, such as silence of the peer. */
     internal suspend fun run(onFrame: (PeerFrame) -> Unit): Failure? = coroutineScope {
         val writer = launch { writeQueued() }
-        var failure: Failure? = null
-        while (failure == null) {
-            val result = read()
-            result.get()?.takeIf { it.kind != PeerFrameKind.HELLO }?.let(onFrame)
-            failure = result.getError()
+        val reader = async { readUntilFailure(onFrame) }
+        val watchdog = launch { activity.awaitSilence(onIdle = ::handleIdle) }
+        val failure = select {
+            reader.onAwait { it }
+            watchdog.onJoin { Failure(ResultCode.BACK_END_LOST, "no frame within the silence timeout") }
         }
-        writer.cancel()
+        listOf(writer, reader, watchdog).forEach(Job::cancel)
         failure
     }
 
@@ -62,18 +82,41 @@
         socket.close()
     }
 
+    private fun handleIdle() {
+        if (side == PeerSide.CLIENT) sendShared(ping)
+    }
+
+    private suspend fun read(): Result<PeerFrame, Failure> = input.readFrame(settings.maximumMessageBytes)
+
+    private suspend fun readUntilFailure(onFrame: (PeerFrame) -> Unit): Failure? {
+        var failure: Failure? = null
+        while (failure == null) {
+            val result = read()
+            activity.recordReceived()
+            result.get()?.let { receive(it, onFrame) }
+            failure = result.getError()
+        }
+        return failure
+    }
+
+    private fun receive(frame: PeerFrame, onFrame: (PeerFrame) -> Unit) {
+        if (frame.kind != PeerFrameKind.HELLO) {
+            onFrame(frame)
+        } else if (side == PeerSide.SERVER) {
+            sendShared(ping)
+        }
+    }
+
     private suspend fun writeQueued() {
-        var isOpen = true
-        while (isOpen) {
-            val received = withTimeoutOrNull(settings.pingIntervalMilliseconds) { queue.receiveCatching() }
-            isOpen = received?.isClosed != true
-            if (isOpen) {
-                write(received?.getOrNull() ?: ping)
-                generateSequence { queue.tryReceive().getOrNull() }.forEach { write(it) }
-                output.flush()
-            }
+        for (frame in queue) {
+            write(frame)
+            generateSequence { queue.tryReceive().getOrNull() }.forEach { write(it) }
+            output.flush()
         }
     }
 
-    private suspend fun write(frame: OutgoingFrame) = settings.onSent(output.writeFrame(frame))
+    private suspend fun write(frame: OutgoingFrame) {
+        settings.onSent(output.writeFrame(frame))
+        activity.recordSent()
+    }
 }
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -46,7 +46,7 @@
     }
 
     private suspend fun serve(accepted: Socket) {
-        val connection = PeerConnection(accepted, settings)
+        val connection = PeerConnection(accepted, settings, PeerSide.SERVER)
         try {
             if (authenticate(connection)) {
                 connections += connection
@@ -61,7 +61,7 @@
     }
 
     private suspend fun authenticate(connection: PeerConnection): Boolean {
-        val result = connection.read()
+        val result = connection.readFirst()
         val hello = result.get()
         val failure = when {
             hello == null -> result.getError()
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerSettings.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerSettings.kt
@@ -3,7 +3,9 @@
 import cassiaspindle.core.identity.Digest
 
 private const val DEFAULT_PING_INTERVAL_MILLISECONDS = 500L
-private const val PINGS_PER_SILENCE_TIMEOUT = 3
+
+/** The longest ping interval that a client may use, in milliseconds. */
+const val MAXIMUM_PING_INTERVAL_MILLISECONDS = 1_000L
 
 /** Settings of either end of a peer connection. */
 data class PeerSettings(
@@ -15,12 +17,12 @@
     val maximumMessageBytes: Int,
     /** Receives the size of each frame sent, in bytes; must not block. */
     val onSent: (bytes: Int) -> Unit = {},
-    /** Interval at which an idle end sends a frame, in milliseconds. */
+    /**
+     * Interval at which a client sends a ping on an idle connection, in milliseconds; at most
+     * [MAXIMUM_PING_INTERVAL_MILLISECONDS]. The server replies to each ping.
+     */
     val pingIntervalMilliseconds: Long = DEFAULT_PING_INTERVAL_MILLISECONDS,
 ) {
-    /** Silence after which a connection is closed, in milliseconds; shorter than the lease of an entry VM. */
-    val silenceTimeoutMilliseconds: Long get() = pingIntervalMilliseconds * PINGS_PER_SILENCE_TIMEOUT
-
     /** Whether [candidate] is the key; compares in constant time. */
     fun matchesKey(candidate: String?): Boolean =
         candidate != null && Digest.constantTimeEquals(Digest.of(candidate), Digest.of(key))
