Tell replicas of the ended lease, so that one with a newer log is elected in place of the restarted leader

That no lease up to the term remains is true for everybody: a replica now learns it from the request for a pre-vote, passes it on in its own requests, and asks for votes soon if its log is newer. ElectionTest has the case (red before).

--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Election.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Election.kt
@@ -10,7 +10,7 @@
  *
  * A pre-vote changes no term and no vote, so that a replica that returns from a partition can't depose a healthy
  * leader. A replica grants neither pre-votes nor votes within one election timeout of its own start or of the last
- * append or snapshot from a leader, unless the candidate led the newest term that this replica knows and has restarted.
+ * append or snapshot from a leader, unless it knows that the leader of the newest term has restarted.
  */
 internal class Election(private val state: ReplicaState, private val leadership: Leadership) {
     private val grantedBy = mutableSetOf<Replica>()
@@ -46,14 +46,16 @@
     }
 
     private fun replyToPreVote(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
-        val grant = !mayHaveLeader(message, nowMilliseconds) &&
-            message.term >= state.term &&
-            state.isUpToDate(message.lastIndex, message.lastTerm)
+        val isUpToDate = state.isUpToDate(message.lastIndex, message.lastTerm)
+        state.recordEndedTerm(message.endedTerm)
+        if (state.isLeaseEnded && !isUpToDate) state.hastenElection(nowMilliseconds)
+        val grant = !mayHaveLeader(nowMilliseconds) && message.term >= state.term && isUpToDate
         output.send(output.reply(ReplicationKind.PRE_VOTE_REPLY, message, grant))
     }
 
     private fun replyToVote(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
-        if (mayHaveLeader(message, nowMilliseconds) || message.term < state.term) {
+        state.recordEndedTerm(message.endedTerm)
+        if (mayHaveLeader(nowMilliseconds) || message.term < state.term) {
             output.send(output.reply(ReplicationKind.VOTE_REPLY, message, granted = false))
             return
         }
@@ -103,9 +105,6 @@
     }
 
     /** Whether a leader may hold a lease that this replica has acknowledged, or that it holds itself. */
-    private fun mayHaveLeader(request: ReplicationMessage, nowMilliseconds: Long): Boolean {
-        val isLeaseEnded = request.endedTerm > 0 && state.term <= request.endedTerm
-        val mayHoldLease = nowMilliseconds < state.noVoteBeforeMilliseconds || leadership.holdsLease(nowMilliseconds)
-        return mayHoldLease && !isLeaseEnded
-    }
+    private fun mayHaveLeader(nowMilliseconds: Long): Boolean = !state.isLeaseEnded &&
+        (nowMilliseconds < state.noVoteBeforeMilliseconds || leadership.holdsLease(nowMilliseconds))
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
@@ -46,10 +46,12 @@
     var membership = log.membership
 
     /**
-     * The term that this replica led before it restarted, or 0. No leader of this term or an earlier one holds a lease:
-     * the lease of the term ended with the old process, and those before it had ended when the term began.
+     * No leader of this term or an earlier one holds a lease; 0 if nothing is known. A replica that led a term knows it
+     * after a restart: the lease of the term ended with the old process, and those before it had ended when the term
+     * began. Others learn it from the restarted leader.
      */
-    val endedTerm = if (hardState.led) hardState.term else 0L
+    var endedTerm = if (hardState.led) hardState.term else 0L
+        private set
 
     /** No vote is granted before this time: the replica may have acknowledged a leader whose lease is still valid. */
     var noVoteBeforeMilliseconds = startedMilliseconds + settings.electionTimeoutMilliseconds
@@ -68,13 +70,27 @@
 
     fun quorum(): Int = membership.voters.size / 2 + 1
 
+    /** Learns that no leader of [ended] or an earlier term holds a lease. */
+    fun recordEndedTerm(ended: Long) {
+        endedTerm = maxOf(endedTerm, ended)
+    }
+
+    /** Whether no leader that this replica may have acknowledged holds a lease. */
+    val isLeaseEnded: Boolean get() = endedTerm > 0 && term <= endedTerm
+
     /** Sets the time of the next attempt at an election; a restarted leader soon repeats one that was not answered. */
     fun resetElectionTimerAfterAttempt(nowMilliseconds: Long) {
         resetElectionTimer(nowMilliseconds)
-        val isFreshRestart = endedTerm == term && nowMilliseconds < noVoteBeforeMilliseconds
+        val isFreshRestart = isLeaseEnded && nowMilliseconds < noVoteBeforeMilliseconds
         if (isFreshRestart) electionDeadlineMilliseconds = nowMilliseconds + settings.restartElectionIntervalMilliseconds
     }
 
+    /** Starts an election soon instead of at the end of the election timeout. */
+    fun hastenElection(nowMilliseconds: Long) {
+        val soon = nowMilliseconds + random(settings.restartElectionIntervalMilliseconds.toInt())
+        electionDeadlineMilliseconds = minOf(electionDeadlineMilliseconds, soon)
+    }
+
     fun resetElectionTimer(nowMilliseconds: Long) {
         val timeout = settings.electionTimeoutMilliseconds
         electionDeadlineMilliseconds = nowMilliseconds + timeout + random(timeout.toInt())
--- a/decision/replication/src/test/kotlin/cassiaspindle/replication/ElectionTest.kt
+++ b/decision/replication/src/test/kotlin/cassiaspindle/replication/ElectionTest.kt
@@ -2,9 +2,12 @@
 
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.schema.CommandOutcome
+import cassiaspindle.schema.ControlCommand
+import cassiaspindle.schema.ControlCommandKind
 import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.GroupState
 import cassiaspindle.schema.HardState
+import cassiaspindle.schema.LogEntry
 import cassiaspindle.schema.Replica
 import cassiaspindle.schema.ReplicationKind
 import cassiaspindle.schema.ReplicationMessage
@@ -66,6 +69,17 @@
         restarted.isLeader shouldBe true
     }
 
+    @Test
+    fun `a replica whose log is newer than that of the restarted leader is elected in its place`() {
+        val log = listOf(LogEntry(1, 4, ControlCommand(ControlCommandKind.NO_OPERATION)))
+        val voter = replica(HardState(term = 4), log)
+        val request = message(ReplicationKind.PRE_VOTE, term = 4).copy(endedTerm = 4)
+        voter.receive(request, 1).messages.single().granted shouldBe false
+        val preVote = voter.tick(TIMEOUT / 4).messages.first { it.to == other }
+        preVote.endedTerm shouldBe 4
+        preVote.kind shouldBe ReplicationKind.PRE_VOTE
+    }
+
     @Test
     fun `a restarted leader repeats its election while the others start`() {
         val restarted = replica(HardState(term = 4, votedFor = self, led = true))
@@ -112,9 +126,9 @@
     private fun message(kind: ReplicationKind, term: Long) =
         ReplicationMessage(kind, group = 0, from = other, to = self, term = term)
 
-    private fun replica(hardState: HardState = HardState(term = 0)) = GroupReplica(
+    private fun replica(hardState: HardState = HardState(term = 0), log: List<LogEntry> = emptyList()) = GroupReplica(
         ReplicationSettings(group = 0, self = self, electionTimeoutMilliseconds = TIMEOUT),
-        PersistentGroupState.empty(GroupMembership(voters)).copy(hardState = hardState),
+        PersistentGroupState.empty(GroupMembership(voters)).copy(hardState = hardState, entries = log),
         stateMachine,
         random = { 0 },
         startedMilliseconds = 0,
