--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -2,7 +2,9 @@
 
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
+import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.RequestResponseBuilder
+import io.ktor.http.cio.Response
 import io.ktor.http.cio.decodeChunked
 import io.ktor.http.cio.parseResponse
 import io.ktor.network.sockets.Socket
@@ -80,7 +82,7 @@
     /** Reads the response head; throws [IOException] if there is none. */
     suspend fun readHead(): ResponseHead {
         val lines = input.readHead()
-        val response = lines?.let { parseResponse(it) } ?: throw EOFException("connection closed before a response")
+        val response = lines?.let { parse(it) } ?: throw EOFException("connection closed before a response")
         val head = ResponseHead(response.status, response.statusText.toString(), response.headers.toList())
         response.release()
         startBody(head)
@@ -116,6 +118,13 @@
         socket.close()
     }
 
+    /** The parser fails for a status that is no number with another exception than for other invalid heads. */
+    private suspend fun parse(lines: ByteReadChannel): Response? = try {
+        parseResponse(lines)
+    } catch (problem: NumberFormatException) {
+        throw ParserException("invalid status line: ${problem.message}").initCause(problem)
+    }
+
     private fun startBody(head: ResponseHead) {
         bodyBytesRead = 0
         decodedBody = null
