--- a/core/src/main/kotlin/cassiaspindle/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/cassiaspindle/core/result/ResultCode.kt
@@ -36,6 +36,7 @@
     ORDER_NOT_RUN(number = 116, Execution.NOT_RUN, "The order was settled as not run."),
     CONTROL_UNREACHABLE(number = 117, Execution.NOT_RUN, "The ledger did not record the order."),
     HEADERS_TOO_LARGE(number = 118, Execution.NOT_RUN, "The headers are larger than the configuration allows."),
+    CONFIGURATION_MISSING(number = 119, Execution.NOT_RUN, "The entry VM has not received a configuration yet."),
 
     DEADLINE_PASSED(number = 300, Execution.MAY_HAVE_RUN, "The deadline passed after work had begun."),
     BACK_END_LOST(number = 301, Execution.MAY_HAVE_RUN, "A backend server was lost after work had begun."),
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -24,6 +24,7 @@
 import cassiaspindle.daemon.relay.request.RequestAdmission
 import cassiaspindle.daemon.relay.request.RequestRelay
 import cassiaspindle.daemon.relay.request.StallDetector
+import cassiaspindle.daemon.relay.request.StartupQueue
 import cassiaspindle.relay.request.DrainSchedule
 import cassiaspindle.relay.request.RetryBudget
 import cassiaspindle.relay.request.RetryLimits
@@ -267,7 +268,10 @@
             ),
         )
         val admission = RequestAdmission(fleetState.configuration, environment.random)
-        return RelayRequestHandler(RelayRequestHandlerDependencies(admission, relay, protocol.callers, log, metrics))
+        val startupQueue = StartupQueue({ fleetState.configuration.version > 0 }, fleetState::awaitConfiguration)
+        return RelayRequestHandler(
+            RelayRequestHandlerDependencies(admission, startupQueue, relay, protocol.callers, log, metrics),
+        )
     }
 
     private fun handlers(): Map<HostAndPort, CallHandler> = listOfNotNull(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -15,6 +15,7 @@
 import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
+import kotlinx.coroutines.CompletableDeferred
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** Maximum size of an unpacked configuration, in bytes. */
@@ -35,6 +36,7 @@
     /** The entry VMs. */
     val entries = EntryList()
 
+    private val firstConfiguration = CompletableDeferred<Unit>()
     private val listeners = CopyOnWriteArrayList<(RunnerNotice) -> Unit>()
 
     /** Registers [listener], which is called with each notice that affects decisions; it must not block. */
@@ -42,6 +44,9 @@
         listeners += listener
     }
 
+    /** Waits until a configuration is in force. */
+    suspend fun awaitConfiguration() = firstConfiguration.await()
+
     /** Applies [news] from a control replica. */
     fun applyNews(news: FleetNews) {
         news.configuration?.let(::applyConfiguration)
@@ -72,6 +77,7 @@
         decompressText(stored.content, MAXIMUM_CONFIGURATION_BYTES).flatMap(readConfiguration)
             .onSuccess {
                 val isNewer = configuration.offer(RouteTable(it))
+                firstConfiguration.complete(Unit)
                 if (isNewer) log.write("configuration_in_force", "version" to it.version)
             }
             .onFailure {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRequestHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayRequestHandler.kt
@@ -31,6 +31,7 @@
 /** Dependencies of [RelayRequestHandler]. */
 internal data class RelayRequestHandlerDependencies(
     val admission: RequestAdmission,
+    val startupQueue: StartupQueue,
     val relay: RequestRelay,
     val protocol: CallerProtocol,
     val log: EventLog,
@@ -105,12 +106,14 @@
         Err(Failure(ResultCode.OVERLOADED, exceeded.message.orEmpty()))
     }
 
-    private fun admit(request: CallerRequest): Result<AdmittedRequest, Failure> =
-        if (phase.get() == ServingPhase.REFUSING) {
+    private suspend fun admit(request: CallerRequest): Result<AdmittedRequest, Failure> {
+        dependencies.startupQueue.await(request.deadlineMilliseconds)
+        return if (phase.get() == ServingPhase.REFUSING) {
             Err(Failure(ResultCode.DRAINING, "the grace period is nearly over"))
         } else {
             dependencies.admission.admit(request)
         }
+    }
 
     private suspend fun refuse(call: RelayCall, error: ErrorResponse, detail: String) {
         dependencies.metrics.count(error.code)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestAdmission.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestAdmission.kt
@@ -32,7 +32,7 @@
         val route = table?.route(request.host, request.path)
         val account = request.apiKey?.let { table?.account(Digest.of(it)) }
         return when {
-            table == null -> Err(Failure(ResultCode.ENTRY_CUT_OFF, "no configuration is in force yet"))
+            table == null -> Err(Failure(ResultCode.CONFIGURATION_MISSING, "no configuration is in force yet"))
             route == null -> Err(Failure(ResultCode.UNKNOWN_PATH, "no route matches the host and path"))
             table.requiresKeys && !route.anonymous && account == null -> Err(Failure(ResultCode.UNAUTHENTICATED))
             else -> Ok(AdmittedRequest(request, table, route, serviceOf(table, route), account))
