--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -8,6 +8,8 @@
 import cassiaspindle.daemon.relay.fleet.FleetPublisherEnvironment
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.ReplicaConnections
+import cassiaspindle.schema.EntryPresence
+import cassiaspindle.schema.FleetNews
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.PeerFrameKind
 import cassiaspindle.schema.RelaySettings
@@ -34,6 +36,10 @@
     val scope: CoroutineScope,
 )
 
+/** A frame with presences of entry VMs that one replica relays to others. */
+private fun newsOf(presences: List<EntryPresence>) =
+    PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = FleetNews(entryPresences = presences))
+
 /**
  * Connects this process to the control replicas: discovers them, receives their frames, and runs a replica of its own
  * if a data folder is set.
@@ -41,6 +47,7 @@
 internal class ControlPlaneService(private val dependencies: ControlPlaneDependencies) {
     private val settings = dependencies.settings
     private val environment = dependencies.environment
+    private val connections = dependencies.replicaConnections
     private val supervisor = ReplicaSupervisor(environment.log, ::openReplica)
     private val replicaDiscovery = ReplicaDiscovery(environment.clock.monotonicMilliseconds, settings.seedPeerAddresses)
     private val publishedVersion = AtomicLong()
@@ -54,7 +61,7 @@
             isLeader = ::isLeader,
             hasLeader = { supervisor.replica?.driver?.controlReplica?.documentGroupStatus()?.leader != null },
             heartbeatMilliseconds = settings.heartbeatMilliseconds,
-            relayPresences = dependencies.replicaConnections::relayPresences,
+            relayPresences = { connections.sendTo(connections.replicas - settings.peerAddress, newsOf(it)) },
         ),
     )
     private val frameHandler = ReplicaFrameHandler(
@@ -85,7 +92,7 @@
     /** Starts the peer server, and the replica if a data folder is set. */
     fun start() {
         server
-        dependencies.replicaConnections.connectTo(settings.seedPeerAddresses.toSet(), emptySet())
+        connections.connectTo(settings.seedPeerAddresses.toSet(), emptySet())
         if (settings.dataFolder != null) supervisor.start()
     }
 
@@ -98,14 +105,18 @@
      */
     fun discoverReplicas() {
         val isDiscovered = replicaDiscovery.hasKnownReplicas && supervisor.replica?.isBootstrapPending != true
-        when {
-            !isDiscovered -> dependencies.replicaConnections.sendToAll(presenceFrame())
-            discoveryRound.getAndIncrement() % PRESENCE_ROUND_INTERVAL == 0 ->
-                dependencies.replicaConnections.sendToNext(presenceFrame())
+        val peers = connections.peers
+        val round = discoveryRound.incrementAndGet()
+        val nextPeer = peers.getOrNull(round / PRESENCE_ROUND_INTERVAL % maxOf(1, peers.size))
+        val receivers = when {
+            !isDiscovered -> peers
+            round % PRESENCE_ROUND_INTERVAL == 0 -> listOfNotNull(nextPeer)
+            else -> emptyList()
         }
+        connections.sendTo(receivers, presenceFrame())
         val replicas = replicaDiscovery.replicaAddresses(supervisor.replica?.driver?.controlReplica?.membership())
         val self = setOfNotNull(settings.peerAddress.takeIf { settings.dataFolder != null })
-        dependencies.replicaConnections.connectTo(replicas.ifEmpty { replicaDiscovery.seeds.toSet() } + self, replicas)
+        connections.connectTo(replicas.ifEmpty { replicaDiscovery.seeds.toSet() } + self, replicas)
     }
 
     /** Expires entry VMs and backend servers that stopped reporting, and publishes changes. */
@@ -131,8 +142,8 @@
         ReplicaEnvironment(
             clock = environment.clock,
             random = environment.random,
-            send = { peer, frame -> dependencies.replicaConnections.send(peer, frame) },
-            replicas = { dependencies.replicaConnections.replicas },
+            send = { peer, frame -> connections.send(peer, frame) },
+            replicas = { connections.replicas },
             onProcessed = ::onReplicaProcessed,
             onDiskFailed = onFailed,
         ),
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -12,14 +12,10 @@
 import cassiaspindle.transport.peer.OutgoingFrame
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
-import java.util.concurrent.atomic.AtomicInteger
 
 /** Time without a presence report after which an entry VM is no longer listed to callers, in milliseconds. */
 private const val PRESENCE_LEASE_MILLISECONDS = 1_500L
 
-/** Ticks from one relay of presences to the next. */
-private const val TICKS_PER_RELAY = 2
-
 /** Announcement intervals after which a backend server counts as silent. */
 private const val SILENCE_INTERVALS = 3
 
@@ -49,9 +45,8 @@
     private val presences = PresenceTable(PRESENCE_LEASE_MILLISECONDS)
     private val repairs = EntryRepairTable()
     private val followers = ConcurrentHashMap<String, FrameSender>()
-    private val unrelayedPresences = ConcurrentHashMap<String, EntryPresence>()
+    private val presenceRelay = PresenceRelay(environment.relayPresences)
     private val isEntryListChanged = AtomicBoolean()
-    private val ticks = AtomicInteger()
 
     init {
         fleetState.addRunnerListener { publish(FleetNews(runners = listOf(it))) }
@@ -65,7 +60,7 @@
         if (presences.offer(presence, environment.now())) isEntryListChanged.set(true)
         if (presence.follows) {
             followers[presence.name] = send
-            unrelayedPresences[presence.name] = presence
+            presenceRelay.add(presence)
         } else {
             followers -= presence.name
         }
@@ -111,7 +106,7 @@
     /** Publishes the backend servers that fell silent, and the list of entry VMs if it changed. */
     fun tick() {
         val now = environment.now()
-        if (ticks.incrementAndGet() % TICKS_PER_RELAY == 0) relayPresences()
+        presenceRelay.tick()
         val silent = fleetState.runners.markSilent(now, environment.heartbeatMilliseconds * SILENCE_INTERVALS)
         if (silent.isNotEmpty()) publish(FleetNews(runners = silent))
         if (presences.expire(now)) isEntryListChanged.set(true)
@@ -120,12 +115,6 @@
         }
     }
 
-    /** Relays the presences received since the last relay: an entry VM that is lost is not kept alive by relays. */
-    private fun relayPresences() {
-        val relayed = unrelayedPresences.keys.mapNotNull(unrelayedPresences::remove)
-        if (relayed.isNotEmpty()) environment.relayPresences(relayed)
-    }
-
     private fun fleetDigest(): Long = fleetDigestOf(fleetState.runners.digest(), presences.live().digest)
 
     private fun completeNews() = FleetNews(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
@@ -41,7 +41,6 @@
     private val knownReplicas = AtomicReference<Set<String>>(emptySet())
     private val followedReplicaSelector = FollowedReplicaSelector(settings.name)
     private val presenceReceivers = PresenceReceivers()
-    private val nextPeerIndex = AtomicInteger()
 
     /** Peer addresses of the known control replicas. */
     val replicas: Set<String> get() = knownReplicas.get()
@@ -56,8 +55,14 @@
     /** Sends [frame] to [peer]; returns false if it is lost. */
     fun send(peer: String, frame: PeerFrame): Boolean = connections[peer]?.client?.send(frame) ?: false
 
-    /** Sends [frame] to all connected peers. */
-    fun sendToAll(frame: PeerFrame) = connections.values.forEach { it.client.send(frame) }
+    /** The names of all peers, in order. */
+    val peers: List<String> get() = connections.keys.sorted()
+
+    /** Sends [frame], which is encoded once, to [receivers]. */
+    fun sendTo(receivers: Collection<String>, frame: PeerFrame) {
+        val shared = OutgoingFrame(frame)
+        receivers.forEach { connections[it]?.client?.sendShared(shared) }
+    }
 
     /**
      * Sends the presence of this entry VM to control replicas. It follows one of them, if possible one of [inZone], to
@@ -76,18 +81,6 @@
             }
     }
 
-    /** Relays [presences], which this process has received as a control replica, to the other replicas. */
-    fun relayPresences(presences: List<EntryPresence>) {
-        val frame = OutgoingFrame(PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = FleetNews(entryPresences = presences)))
-        (knownReplicas.get() - settings.name).forEach { connections[it]?.client?.sendShared(frame) }
-    }
-
-    /** Sends [frame] to one connected peer after the other, one at each call. */
-    fun sendToNext(frame: PeerFrame) {
-        val peers = connections.keys.sorted()
-        if (peers.isNotEmpty()) send(peers[Math.floorMod(nextPeerIndex.getAndIncrement(), peers.size)], frame)
-    }
-
     /**
      * Sends [notice] to all control replicas. Returns the number of acknowledgements, once there are [requiredReplies]
      * or after [timeoutMilliseconds].
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/EventStreamReader.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/EventStreamReader.kt
@@ -33,7 +33,6 @@
 
     /** Reads until a complete event is buffered; returns false if the stream ends first. */
     suspend fun awaitEvent(): Boolean {
-        if (events.isNotEmpty()) return true
         val wait = reader.ProgressWait()
         while (events.isEmpty()) {
             val bytes = readBytes(wait) ?: return false
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
@@ -69,7 +69,9 @@
             relayed.body,
             relayed.contextFor(choice, remainingMilliseconds, lastEventId),
             choice.backEnd.address,
-            silenceTimeoutFor(choice),
+            choice.chain
+                ?.let { chainSilenceTimeoutMilliseconds(admitted.route, dependencies.stallTimeoutMilliseconds) }
+                ?: silenceTimeoutMilliseconds(context),
             attemptRoute::rerouteAround,
         )
         logger.logAttemptStart(choice, attempts, remainingMilliseconds, lastEventId)
@@ -87,12 +89,6 @@
         }
     }
 
-    private fun silenceTimeoutFor(choice: RouteChoice): Long = if (choice.chain == null) {
-        silenceTimeoutMilliseconds(context)
-    } else {
-        chainSilenceTimeoutMilliseconds(admitted.route, dependencies.stallTimeoutMilliseconds)
-    }
-
     /** Forwards a complete response, unless the stream to the caller has started: then only events may follow. */
     private suspend fun respondComplete(result: AttemptResult.Complete): NextStep? {
         if (streamWriter != null) return NextStep.BreakOff
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/request/DrainSchedule.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/DrainSchedule.kt
@@ -18,8 +18,8 @@
     val closeAfterMilliseconds: Long get() = graceMilliseconds - graceMilliseconds / CLOSING_TIME_DIVISOR
 
     /**
-     * End of the time in which requests are accepted: by then no caller holds a discovery response that names this entry
-     * VM, and a request that came later might not finish before the connections are closed.
+     * End of the time in which requests are accepted: by then no caller holds a discovery response that names this
+     * entry VM, and a request that came later might not finish before the connections are closed.
      */
     val acceptForMilliseconds: Long
         get() = minOf(
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
@@ -59,7 +59,8 @@
 
     init {
         stateMachine.restore(initialState.snapshot.state)
-        if (endedTerm > 0) electionDeadlineMilliseconds = startedMilliseconds else resetElectionTimer(startedMilliseconds)
+        resetElectionTimer(startedMilliseconds)
+        if (endedTerm > 0) electionDeadlineMilliseconds = startedMilliseconds
     }
 
     val term: Long get() = hardState.term
@@ -82,7 +83,8 @@
     fun resetElectionTimerAfterAttempt(nowMilliseconds: Long) {
         resetElectionTimer(nowMilliseconds)
         val isFreshRestart = isLeaseEnded && nowMilliseconds < noVoteBeforeMilliseconds
-        if (isFreshRestart) electionDeadlineMilliseconds = nowMilliseconds + settings.restartElectionIntervalMilliseconds
+        val soon = nowMilliseconds + settings.restartElectionIntervalMilliseconds
+        if (isFreshRestart) electionDeadlineMilliseconds = soon
     }
 
     /** Starts an election soon instead of at the end of the election timeout. */
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
@@ -55,14 +55,16 @@
 
     /** Reads the first frame; fails if none arrives in time. */
     internal suspend fun readFirst(): Result<PeerFrame, Failure> =
-        withTimeoutOrNull(FIRST_FRAME_TIMEOUT_MILLISECONDS) { read() }
+        withTimeoutOrNull(FIRST_FRAME_TIMEOUT_MILLISECONDS) { input.readFrame(settings.maximumMessageBytes) }
             ?: Err(Failure(ResultCode.BACK_END_LOST, "no frame within the time limit"))
 
     /** Writes queued frames and passes received ones to [onFrame] until a failure, such as silence of the peer. */
     internal suspend fun run(onFrame: (PeerFrame) -> Unit): Failure? = coroutineScope {
         val writer = launch { writeQueued() }
         val reader = async { readUntilFailure(onFrame) }
-        val watchdog = launch { activity.awaitSilence(onIdle = ::handleIdle) }
+        val watchdog = launch {
+            activity.awaitSilence(onIdle = { if (side == PeerSide.CLIENT) sendShared(ping) })
+        }
         val failure = select {
             reader.onAwait { it }
             watchdog.onJoin { Failure(ResultCode.BACK_END_LOST, "no frame within the silence timeout") }
@@ -82,16 +84,10 @@
         socket.close()
     }
 
-    private fun handleIdle() {
-        if (side == PeerSide.CLIENT) sendShared(ping)
-    }
-
-    private suspend fun read(): Result<PeerFrame, Failure> = input.readFrame(settings.maximumMessageBytes)
-
     private suspend fun readUntilFailure(onFrame: (PeerFrame) -> Unit): Failure? {
         var failure: Failure? = null
         while (failure == null) {
-            val result = read()
+            val result = input.readFrame(settings.maximumMessageBytes)
             activity.recordReceived()
             result.get()?.let { receive(it, onFrame) }
             failure = result.getError()
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -129,7 +129,8 @@
     fun `a closed server leaves no coroutine running`() {
         val parent = CoroutineScope(SupervisorJob() + Dispatchers.Default)
         val free = ServerSocket(0).use { it.localPort }
-        val closed = RelayServer.start(mapOf(HostAndPort("127.0.0.1", free) to ::serve), selector, parent, BufferBudget(0))
+        val handlers = mapOf<HostAndPort, CallHandler>(HostAndPort("127.0.0.1", free) to ::serve)
+        val closed = RelayServer.start(handlers, selector, parent, BufferBudget(maximumBytes = 0))
         val running = parent.coroutineContext.job.children.toList()
         closed.close()
         runBlocking { withTimeoutOrNull(5_000) { running.joinAll() } } shouldNotBe null
