Send announcements that change nothing to one replica, which relays them

Each announcement of a backend server went to every replica, each of which replied: 216 runners that announce themselves every 1.2 s make 900 frames and 900 replies a second before any request, most of which say only that a runner is alive. Such an announcement now goes to the followed replica; replicas relay them to each other with the presences, twice a second, each once. What changes something, or is not acknowledged, goes to all as before; a leave still needs a majority. A runner counts as silent after three intervals, so that half a second of relay costs nothing.

FleetPublisherTest: frames relayed; a runner whose relays end falls silent, one whose relays go on does not.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -8,8 +8,6 @@
 import cassiaspindle.daemon.relay.fleet.FleetPublisherEnvironment
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.ReplicaConnections
-import cassiaspindle.schema.EntryPresence
-import cassiaspindle.schema.FleetNews
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.PeerFrameKind
 import cassiaspindle.schema.RelaySettings
@@ -36,10 +34,6 @@
     val scope: CoroutineScope,
 )
 
-/** A frame with presences of entry VMs that one replica relays to others. */
-private fun newsOf(presences: List<EntryPresence>) =
-    PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = FleetNews(entryPresences = presences))
-
 /**
  * Connects this process to the control replicas: discovers them, receives their frames, and runs a replica of its own
  * if a data folder is set.
@@ -61,7 +55,10 @@
             isLeader = ::isLeader,
             hasLeader = { supervisor.replica?.driver?.controlReplica?.documentGroupStatus()?.leader != null },
             heartbeatMilliseconds = settings.heartbeatMilliseconds,
-            relayPresences = { connections.sendTo(connections.replicas - settings.peerAddress, newsOf(it)) },
+            relay = { news ->
+                val frame = PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = news)
+                connections.sendTo(connections.replicas - settings.peerAddress, frame)
+            },
         ),
     )
     private val frameHandler = ReplicaFrameHandler(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaFrameHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaFrameHandler.kt
@@ -26,7 +26,7 @@
     private fun handleAtReplica(replica: LocalReplica, connection: PeerConnection, frame: PeerFrame) {
         frame.replication?.let(replica.driver::receive)
         frame.entryPresence?.let { publisher.receiveEntryPresence(it, connection::sendShared) }
-        frame.fleetNews?.let { publisher.receiveRelayedPresences(it.entryPresences) }
+        frame.fleetNews?.let(publisher::receiveRelay)
         frame.runnerNotice?.let {
             publisher.receiveNotice(it)
             connection.send(PeerFrame(PeerFrameKind.RUNNER_NOTICE_REPLY, correlation = frame.correlation))
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/AnnouncementHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/AnnouncementHandler.kt
@@ -19,6 +19,9 @@
 /** Time limit for one control replica to acknowledge an announcement, in milliseconds. */
 private const val ANNOUNCEMENT_TIMEOUT_MILLISECONDS = 400L
 
+/** Time limit for the nearest control replica to acknowledge an announcement, in milliseconds; the others follow. */
+private const val NEAREST_TIMEOUT_MILLISECONDS = 300L
+
 /** Forwards announcements and leave requests of backend servers to the control replicas. */
 internal class AnnouncementHandler(
     private val replicaConnections: ReplicaConnections,
@@ -49,13 +52,31 @@
         call.respondEmpty(ResultCode.MALFORMED)
     }
 
-    /** A notice that ends the use of a backend server is acknowledged once a quorum of control replicas has it. */
+    /**
+     * Forwards a notice that changes nothing to one control replica, which relays it, and any other notice to all of
+     * them.
+     */
     private suspend fun forward(call: RelayCall, notice: RunnerNotice) {
-        fleetState.applyNotice(notice)
+        val isChange = fleetState.applyNotice(notice)
+        if (!isChange && notice.isUsable && forwardToNearest(notice)) {
+            call.respondEmpty(ResultCode.OK)
+        } else {
+            forwardToAll(call, notice)
+        }
+    }
+
+    private suspend fun forwardToNearest(notice: RunnerNotice): Boolean {
+        val receivers = setOfNotNull(replicaConnections.nearestReplica)
+        return replicaConnections.sendNotice(notice, receivers, requiredReplies = 1, NEAREST_TIMEOUT_MILLISECONDS) > 0
+    }
+
+    /** A notice that ends the use of a backend server is acknowledged once a quorum of control replicas has it. */
+    private suspend fun forwardToAll(call: RelayCall, notice: RunnerNotice) {
         val replicas = replicaConnections.replicas.size
         val requiredReplies = if (notice.isUsable) 1 else replicas / 2 + 1
         val timeoutMilliseconds = if (notice.isUsable) ANNOUNCEMENT_TIMEOUT_MILLISECONDS else LEAVE_TIMEOUT_MILLISECONDS
-        val acknowledged = replicaConnections.sendNotice(notice, requiredReplies, timeoutMilliseconds)
+        val acknowledged =
+            replicaConnections.sendNotice(notice, replicaConnections.replicas, requiredReplies, timeoutMilliseconds)
         if (!notice.isUsable) {
             val acknowledgedBy = "$acknowledged of $replicas"
             log.write("leave_taken", "runner" to notice.id, "state" to notice.state, "held_by" to acknowledgedBy)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -2,6 +2,7 @@
 
 import cassiaspindle.relay.fleet.EntryRepairTable
 import cassiaspindle.relay.fleet.PresenceTable
+import cassiaspindle.relay.fleet.isUsable
 import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.FleetNews
 import cassiaspindle.schema.PeerFrame
@@ -33,8 +34,8 @@
     val hasLeader: () -> Boolean,
     /** Interval between two announcements of a backend server, in milliseconds. */
     val heartbeatMilliseconds: Long,
-    /** Relays presences of entry VMs to the other replicas; must not block. */
-    val relayPresences: (List<EntryPresence>) -> Unit,
+    /** Relays news to the other replicas; must not block. */
+    val relay: (FleetNews) -> Unit,
 )
 
 /**
@@ -45,7 +46,7 @@
     private val presences = PresenceTable(PRESENCE_LEASE_MILLISECONDS)
     private val repairs = EntryRepairTable()
     private val followers = ConcurrentHashMap<String, FrameSender>()
-    private val presenceRelay = PresenceRelay(environment.relayPresences)
+    private val fleetRelay = FleetRelay(environment.relay)
     private val isEntryListChanged = AtomicBoolean()
 
     init {
@@ -60,7 +61,7 @@
         if (presences.offer(presence, environment.now())) isEntryListChanged.set(true)
         if (presence.follows) {
             followers[presence.name] = send
-            presenceRelay.add(presence)
+            fleetRelay.add(presence)
         } else {
             followers -= presence.name
         }
@@ -77,15 +78,20 @@
         news?.let { send(frameOf(it)) }
     }
 
-    /** Handles [relayed] presences of entry VMs that follow another replica. */
-    fun receiveRelayedPresences(relayed: List<EntryPresence>) = relayed.forEach { presence ->
-        followers -= presence.name
-        if (presences.offer(presence, environment.now())) isEntryListChanged.set(true)
+    /** Handles what another replica has [relayed]: its followers, and announcements that it alone received. */
+    fun receiveRelay(relayed: FleetNews) {
+        relayed.entryPresences.forEach { presence ->
+            followers -= presence.name
+            if (presences.offer(presence, environment.now())) isEntryListChanged.set(true)
+        }
+        relayed.runners.forEach(fleetState::applyNotice)
     }
 
     /** Applies a notice of a backend server, or of an entry VM that found one silent; followers get each change. */
     fun receiveNotice(notice: RunnerNotice) {
-        fleetState.applyNotice(if (notice.state == RunnerState.SILENT) silentNoticeOf(notice) else notice)
+        val applied = if (notice.state == RunnerState.SILENT) silentNoticeOf(notice) else notice
+        val isChanged = fleetState.applyNotice(applied)
+        if (!isChanged && notice.isUsable) fleetRelay.add(notice)
     }
 
     /**
@@ -106,7 +112,7 @@
     /** Publishes the backend servers that fell silent, and the list of entry VMs if it changed. */
     fun tick() {
         val now = environment.now()
-        presenceRelay.tick()
+        fleetRelay.tick()
         val silent = fleetState.runners.markSilent(now, environment.heartbeatMilliseconds * SILENCE_INTERVALS)
         if (silent.isNotEmpty()) publish(FleetNews(runners = silent))
         if (presences.expire(now)) isEntryListChanged.set(true)
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetRelay.kt
@@ -0,0 +1,40 @@
+package cassiaspindle.daemon.relay.fleet
+
+import cassiaspindle.schema.EntryPresence
+import cassiaspindle.schema.FleetNews
+import cassiaspindle.schema.RunnerNotice
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Ticks from one relay to the next. */
+private const val TICKS_PER_RELAY = 2
+
+/**
+ * Passes what only this control replica receives to [relay], for the other replicas: presences of its followers, and
+ * announcements that change nothing but show that a backend server is alive.
+ */
+internal class FleetRelay(private val relay: (FleetNews) -> Unit) {
+    private val presences = ConcurrentHashMap<String, EntryPresence>()
+    private val notices = ConcurrentHashMap<String, RunnerNotice>()
+    private val ticks = AtomicInteger()
+
+    /** Adds [presence] to the next relay. */
+    fun add(presence: EntryPresence) {
+        presences[presence.name] = presence
+    }
+
+    /** Adds [notice] to the next relay. */
+    fun add(notice: RunnerNotice) {
+        notices[notice.id] = notice
+    }
+
+    /** Relays what was added since the last relay, each of it once, so that a relay keeps nobody alive who is lost. */
+    fun tick() {
+        if (ticks.incrementAndGet() % TICKS_PER_RELAY != 0) return
+        val news = FleetNews(
+            entryPresences = presences.keys.mapNotNull(presences::remove),
+            runners = notices.keys.mapNotNull(notices::remove),
+        )
+        if (news.entryPresences.isNotEmpty() || news.runners.isNotEmpty()) relay(news)
+    }
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
@@ -41,6 +41,7 @@
     private val knownReplicas = AtomicReference<Set<String>>(emptySet())
     private val followedReplicaSelector = FollowedReplicaSelector(settings.name)
     private val presenceReceivers = PresenceReceivers()
+    private val followedReplica = AtomicReference<String?>(null)
 
     /** Peer addresses of the known control replicas. */
     val replicas: Set<String> get() = knownReplicas.get()
@@ -72,6 +73,7 @@
         val connected = connectedReplicas().toSet()
         val others = connected - presence.name
         val followed = followedReplicaSelector.select(ReplicaCandidates(others.ifEmpty { connected }, inZone, now()))
+        followedReplica.set(followed)
         val isFollowedHeard = followed != null && followedReplicaSelector.isHeard(followed, now())
         presenceReceivers
             .select(PresenceReport(knownReplicas.get(), followed, isFollowedHeard, presence.ready))
@@ -81,12 +83,24 @@
             }
     }
 
+    /** The connected control replica that this entry VM follows, or else another one; null if none is connected. */
+    val nearestReplica: String?
+        get() {
+            val connected = connectedReplicas()
+            return followedReplica.get()?.takeIf { it in connected } ?: connected.firstOrNull()
+        }
+
     /**
-     * Sends [notice] to all control replicas. Returns the number of acknowledgements, once there are [requiredReplies]
+     * Sends [notice] to the control replicas [receivers]. Returns the number of acknowledgements, once there are [requiredReplies]
      * or after [timeoutMilliseconds].
      */
-    suspend fun sendNotice(notice: RunnerNotice, requiredReplies: Int, timeoutMilliseconds: Long): Int {
-        val pending = knownReplicas.get().mapNotNull { peer -> sendExpectingReply(peer, notice) }
+    suspend fun sendNotice(
+        notice: RunnerNotice,
+        receivers: Set<String>,
+        requiredReplies: Int,
+        timeoutMilliseconds: Long,
+    ): Int {
+        val pending = receivers.mapNotNull { peer -> sendExpectingReply(peer, notice) }
         val acknowledged = AtomicInteger()
         withTimeoutOrNull(timeoutMilliseconds) {
             val enoughReplies = CompletableDeferred<Unit>()
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/BackEndLossReporter.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/BackEndLossReporter.kt
@@ -34,7 +34,12 @@
         val notice = lost.copy(state = RunnerState.SILENT)
         dependencies.log.write("runner_lost", "runner" to lost.id, "address" to address, "sequence" to lost.sequence)
         if (dependencies.fleetState.applyNotice(notice)) {
-            dependencies.replicaConnections.sendNotice(notice, requiredReplies = 1, LOSS_REPORT_TIMEOUT_MILLISECONDS)
+            dependencies.replicaConnections.sendNotice(
+                notice,
+                dependencies.replicaConnections.replicas,
+                requiredReplies = 1,
+                LOSS_REPORT_TIMEOUT_MILLISECONDS,
+            )
         }
     }
 }
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
@@ -18,7 +18,7 @@
 class FleetPublisherTest : AnnotationSpec() {
     private val log = EventLog(PrintStream(OutputStream.nullOutputStream())) { 0 }
     private val received = mutableMapOf<String, MutableList<FleetNews>>()
-    private val relayed = mutableListOf<List<EntryPresence>>()
+    private val relayed = mutableListOf<FleetNews>()
     private var now = 0L
     private var configuration: StoredConfiguration? = null
     private lateinit var publisher: FleetPublisher
@@ -37,7 +37,7 @@
             isLeader = { false },
             hasLeader = { true },
             heartbeatMilliseconds = 60_000,
-            relayPresences = { relayed += it },
+            relay = { relayed += it },
         )
         publisher = FleetPublisher(fleetState, environment)
     }
@@ -113,11 +113,36 @@
         received.getValue("entry-1").flatMap(FleetNews::runners) shouldBe emptyList()
     }
 
+    @Test
+    fun `a replica relays an announcement that changes nothing once, and one that changes something not at all`() {
+        publisher.receiveNotice(runner(1))
+        repeat(2) { publisher.tick() }
+        relayed shouldBe emptyList()
+        publisher.receiveNotice(runner(1).copy(sequence = 2))
+        repeat(4) { publisher.tick() }
+        relayed.map(FleetNews::runners) shouldBe listOf(listOf(runner(1).copy(sequence = 2)))
+    }
+
+    @Test
+    fun `a backend server whose announcements are relayed is not silent, one whose relays end is`() {
+        val clock = { now }
+        val state = FleetState(log, clock) { Err(Failure(ResultCode.MALFORMED, "not read here")) }
+        val environment = FleetPublisherEnvironment(clock, { null }, { false }, { true }, 1_000, relay = {})
+        val other = FleetPublisher(state, environment)
+        (0L..9_000L step 500).forEachIndexed { step, time ->
+            now = time
+            if (time <= 5_000) other.receiveRelay(FleetNews(runners = listOf(runner(1).copy(sequence = step + 1L))))
+            other.tick()
+            val isSilent = state.runners.find("runner-1")?.state == RunnerState.SILENT
+            isSilent shouldBe (time > 8_000)
+        }
+    }
+
     @Test
     fun `a replica relays each presence of its followers once, and another one lists them until they fall silent`() {
         val other = FleetPublisher(
             FleetState(log, { now }) { Err(Failure(ResultCode.MALFORMED, "not read here")) },
-            FleetPublisherEnvironment({ now }, { null }, { false }, { true }, 60_000, relayPresences = {}),
+            FleetPublisherEnvironment({ now }, { null }, { false }, { true }, 60_000, relay = {}),
         )
         val listed = mutableListOf<List<String>>()
         val follower = EntryPresence("follower", incarnation = 1, "b", "c:9", ready = true, follows = true)
@@ -126,7 +151,7 @@
             now = time
             if (time < 2_000) repeat(ENTRIES) { reportPresence(it, follows = it < FOLLOWERS) }
             publisher.tick()
-            relayed.forEach(other::receiveRelayedPresences)
+            relayed.forEach(other::receiveRelay)
             framesToOther += relayed.size
             relayed.clear()
             other.receiveEntryPresence(follower) { frame ->
