--- a/history/src/test/kotlin/cassiaspindle/history/control/InjectedFaultTest.kt
+++ b/history/src/test/kotlin/cassiaspindle/history/control/InjectedFaultTest.kt
@@ -55,6 +55,8 @@
             ),
             "vote at once after a restart" to
                 InjectedFault("the lease is held", ControlFaults(startTime = { it - EARLIER_START_MILLISECONDS })),
+            "claim a term that it did not lead" to
+                InjectedFault("the lease is held", ControlFaults(recoveredHardState = { it.copy(led = true) })),
             "forget the term and the vote" to
                 InjectedFault(violationText = "", ControlFaults(recoveredHardState = { HardState(term = 0) })),
             "count the vote of an empty replica" to
