Relay announcements also where they change something, and only by a replica that hears a leader

A ready runner's newest announcement is relayed in any case; an entry VM sends announcements to all replicas while the followed one does not reply or hears no leader.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/AnnouncementHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/AnnouncementHandler.kt
@@ -19,8 +19,8 @@
 /** Time limit for one control replica to acknowledge an announcement, in milliseconds. */
 private const val ANNOUNCEMENT_TIMEOUT_MILLISECONDS = 400L
 
-/** Time limit for the nearest control replica to acknowledge an announcement, in milliseconds; the others follow. */
-private const val NEAREST_TIMEOUT_MILLISECONDS = 300L
+/** Time limit for the followed control replica to acknowledge an announcement, in milliseconds; then all get it. */
+private const val FOLLOWED_TIMEOUT_MILLISECONDS = 300L
 
 /** Forwards announcements and leave requests of backend servers to the control replicas. */
 internal class AnnouncementHandler(
@@ -53,21 +53,21 @@
     }
 
     /**
-     * Forwards a notice that changes nothing to one control replica, which relays it, and any other notice to all of
-     * them.
+     * Forwards a notice that changes nothing to the followed control replica, which relays it, and any other notice to
+     * all of them.
      */
     private suspend fun forward(call: RelayCall, notice: RunnerNotice) {
         val isChange = fleetState.applyNotice(notice)
-        if (!isChange && notice.isUsable && forwardToNearest(notice)) {
+        if (!isChange && notice.isUsable && forwardToFollowed(notice)) {
             call.respondEmpty(ResultCode.OK)
         } else {
             forwardToAll(call, notice)
         }
     }
 
-    private suspend fun forwardToNearest(notice: RunnerNotice): Boolean {
-        val receivers = setOfNotNull(replicaConnections.nearestReplica)
-        return replicaConnections.sendNotice(notice, receivers, requiredReplies = 1, NEAREST_TIMEOUT_MILLISECONDS) > 0
+    private suspend fun forwardToFollowed(notice: RunnerNotice): Boolean {
+        val receivers = setOf(replicaConnections.followedReplica ?: return false)
+        return replicaConnections.sendNotice(notice, receivers, requiredReplies = 1, FOLLOWED_TIMEOUT_MILLISECONDS) > 0
     }
 
     /** A notice that ends the use of a backend server is acknowledged once a quorum of control replicas has it. */
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -89,9 +89,8 @@
 
     /** Applies a notice of a backend server, or of an entry VM that found one silent; followers get each change. */
     fun receiveNotice(notice: RunnerNotice) {
-        val applied = if (notice.state == RunnerState.SILENT) silentNoticeOf(notice) else notice
-        val isChanged = fleetState.applyNotice(applied)
-        if (!isChanged && notice.isUsable) fleetRelay.add(notice)
+        fleetState.applyNotice(if (notice.state == RunnerState.SILENT) silentNoticeOf(notice) else notice)
+        if (notice.isUsable) fleetRelay.add(notice)
     }
 
     /**
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetRelay.kt
@@ -10,8 +10,8 @@
 private const val TICKS_PER_RELAY = 2
 
 /**
- * Passes what only this control replica receives to [relay], for the other replicas: presences of its followers, and
- * announcements that change nothing but show that a backend server is alive.
+ * Passes what perhaps only this control replica receives to [relay], for the other replicas: presences of its
+ * followers, and announcements that show that a backend server is alive.
  */
 internal class FleetRelay(private val relay: (FleetNews) -> Unit) {
     private val presences = ConcurrentHashMap<String, EntryPresence>()
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
@@ -41,7 +41,7 @@
     private val knownReplicas = AtomicReference<Set<String>>(emptySet())
     private val followedReplicaSelector = FollowedReplicaSelector(settings.name)
     private val presenceReceivers = PresenceReceivers()
-    private val followedReplica = AtomicReference<String?>(null)
+    private val lastFollowed = AtomicReference<String?>(null)
 
     /** Peer addresses of the known control replicas. */
     val replicas: Set<String> get() = knownReplicas.get()
@@ -73,26 +73,22 @@
         val connected = connectedReplicas().toSet()
         val others = connected - presence.name
         val followed = followedReplicaSelector.select(ReplicaCandidates(others.ifEmpty { connected }, inZone, now()))
-        followedReplica.set(followed)
-        val isFollowedHeard = followed != null && followedReplicaSelector.isHeard(followed, now())
-        presenceReceivers
-            .select(PresenceReport(knownReplicas.get(), followed, isFollowedHeard, presence.ready))
-            .forEach { peer ->
-                val report = presence.copy(follows = peer == followed)
-                send(peer, PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = report))
-            }
+        lastFollowed.set(followed)
+        val isFollowedHeard = followedReplica != null
+        val report = PresenceReport(knownReplicas.get(), followed, isFollowedHeard, presence.ready)
+        presenceReceivers.select(report).forEach { peer ->
+            val sent = presence.copy(follows = peer == followed)
+            send(peer, PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = sent))
+        }
     }
 
-    /** The connected control replica that this entry VM follows, or else another one; null if none is connected. */
-    val nearestReplica: String?
-        get() {
-            val connected = connectedReplicas()
-            return followedReplica.get()?.takeIf { it in connected } ?: connected.firstOrNull()
-        }
+    /** The control replica that this entry VM follows; null while that one does not reply or has no leader. */
+    val followedReplica: String?
+        get() = lastFollowed.get()?.takeIf { followedReplicaSelector.isHeard(it, now()) }
 
     /**
-     * Sends [notice] to the control replicas [receivers]. Returns the number of acknowledgements, once there are [requiredReplies]
-     * or after [timeoutMilliseconds].
+     * Sends [notice] to the control replicas [receivers]. Returns the number of acknowledgements, once there are
+     * [requiredReplies] or after [timeoutMilliseconds].
      */
     suspend fun sendNotice(
         notice: RunnerNotice,
