--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetRelay.kt
@@ -28,7 +28,7 @@
         notices[notice.id] = notice
     }
 
-    /** Relays what was added since the last relay, each of it once, so that a relay keeps nobody alive who is lost. */
+    /** Relays what was added since the last relay, each of it once, so that a relay extends no expired lease. */
     fun tick() {
         if (ticks.incrementAndGet() % TICKS_PER_RELAY != 0) return
         val news = FleetNews(
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
@@ -13,9 +13,9 @@
 private const val STALL_MARGIN_MILLISECONDS = 500L
 
 /** A caller leaves after the longest of this time, of these latency objectives and of these gap objectives. */
-private const val MINIMUM_PATIENCE_MILLISECONDS = 2_000L
-private const val PATIENCE_OBJECTIVES = 4
-private const val PATIENCE_GAPS = 8
+private const val MINIMUM_CALLER_IDLE_TIMEOUT_MILLISECONDS = 2_000L
+private const val CALLER_IDLE_TIMEOUT_OBJECTIVES = 4
+private const val CALLER_IDLE_TIMEOUT_GAPS = 8
 
 /** Why an attempt at a backend server produced no complete response. */
 sealed interface AttemptFailure {
@@ -60,13 +60,13 @@
     route.kind == RelayRouteKind.IDEMPOTENT || (route.kind == RelayRouteKind.STREAM && route.resumable)
 
 /**
- * Longest time without an event after which a caller of [route] still waits for its stream, in milliseconds. A slow
- * stream is sound until then.
+ * Time without an event after which a caller of [route] abandons its stream, in milliseconds. A slow stream is not
+ * interrupted before.
  */
-fun callerPatienceMilliseconds(route: RelayRoute): Long = maxOf(
-    MINIMUM_PATIENCE_MILLISECONDS,
-    route.objectiveMilliseconds * PATIENCE_OBJECTIVES,
-    route.gapObjectiveMilliseconds * PATIENCE_GAPS,
+fun callerIdleTimeoutMilliseconds(route: RelayRoute): Long = maxOf(
+    MINIMUM_CALLER_IDLE_TIMEOUT_MILLISECONDS,
+    route.objectiveMilliseconds * CALLER_IDLE_TIMEOUT_OBJECTIVES,
+    route.gapObjectiveMilliseconds * CALLER_IDLE_TIMEOUT_GAPS,
 )
 
 /**
@@ -81,7 +81,7 @@
         maxOf(MINIMUM_SILENCE_TIMEOUT_MILLISECONDS, route.objectiveMilliseconds * SILENCE_TIMEOUT_OBJECTIVES)
     return when {
         !hasNextAttempt -> Long.MAX_VALUE
-        route.kind == RelayRouteKind.STREAM -> maxOf(timeout, callerPatienceMilliseconds(route))
+        route.kind == RelayRouteKind.STREAM -> maxOf(timeout, callerIdleTimeoutMilliseconds(route))
         else -> timeout
     }
 }
@@ -91,7 +91,7 @@
  * which the runners themselves end work that waits for a lost one.
  */
 fun chainSilenceTimeoutMilliseconds(route: RelayRoute, stallTimeoutMilliseconds: Long): Long =
-    maxOf(stallTimeoutMilliseconds + STALL_MARGIN_MILLISECONDS, callerPatienceMilliseconds(route))
+    maxOf(stallTimeoutMilliseconds + STALL_MARGIN_MILLISECONDS, callerIdleTimeoutMilliseconds(route))
 
 /**
  * Decides the step after [failure].
--- a/history/src/main/kotlin/cassiaspindle/history/request/RequestOracle.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/request/RequestOracle.kt
@@ -69,7 +69,7 @@
 
     /** Checks the guarantees that can only be checked at the end. */
     fun checkEnd(requestsInFlight: Int, heldCapacity: Int) {
-        reportedNotRun.filter(::hasRun).forEach { detected += "${it.requestId} was told not run and ran" }
+        reportedNotRun.filter(::hasRun).forEach { detected += "${it.requestId} was reported as not run and ran" }
         if (recorder.ordersRunTwice() > 0) detected += "${recorder.ordersRunTwice()} orders ran twice"
         if (requestsInFlight > 0) detected += "$requestsInFlight requests never end"
         if (heldCapacity > 0) detected += "$heldCapacity places at backend servers are never given back"
@@ -87,7 +87,7 @@
 
     private fun recordEnd(requestId: String, ending: String) {
         val previous = endings.put(requestId, ending)
-        if (previous != null && previous != "gone") detected += "$requestId was told $previous and $ending"
+        if (previous != null && previous != "gone") detected += "$requestId was answered with $previous and with $ending"
     }
 
     companion object {
