--- a/history/src/main/kotlin/cassiaspindle/history/control/ControlOracle.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/control/ControlOracle.kt
@@ -50,7 +50,7 @@
         val isFinal = record.state == OrderState.DONE || record.state == OrderState.NOT_RUN
         val previous = finalStates[name]
         when {
-            previous != null && previous != state -> detected += "order ${name.key} was reported as $previous and as $state"
+            previous != null && previous != state -> detected += "order ${name.key} was $previous, then $state"
             isFinal -> finalStates[name] = state
         }
     }
--- a/history/src/main/kotlin/cassiaspindle/history/request/RequestOracle.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/request/RequestOracle.kt
@@ -87,7 +87,7 @@
 
     private fun recordEnd(requestId: String, ending: String) {
         val previous = endings.put(requestId, ending)
-        if (previous != null && previous != "gone") detected += "$requestId was answered with $previous and with $ending"
+        if (previous != null && previous != "gone") detected += "$requestId got $previous and $ending"
     }
 
     companion object {
