Open a control replica again whatever its disk did while it was opened

Cause: an exception that the opening of a data folder did not expect ended the only task that opens it again, while the process ran on: the replica stayed away for good. Change: each failure schedules the next try, and closes what was begun. Evidence: the new case of ReplicaSupervisorTest failed before (no replica after 5 s).

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaSupervisor.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaSupervisor.kt
@@ -1,8 +1,10 @@
 package cassiaspindle.daemon.relay
 
 import cassiaspindle.core.result.Failure
+import cassiaspindle.core.result.ResultCode
 import cassiaspindle.daemon.relay.control.LocalReplica
 import cassiaspindle.daemon.relay.log.EventLog
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
@@ -46,14 +48,20 @@
         worker.awaitTermination(timeoutMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    /** Whatever goes wrong is tried again: a disk may fail at any read or write. */
     private fun reopen() {
-        open(::onDiskFailed)
-            .onSuccess { opened ->
-                current.set(opened)
-                opened.start()
-                log.write("replica_opened", "identity" to opened.self.identity)
+        runCatching { open(::onDiskFailed).onSuccess(::startReplica) }
+            .getOrElse { Err(Failure(ResultCode.SYNC_FAILED, it.toString())) }
+            .onFailure { failure ->
+                current.getAndSet(null)?.let { failed -> runLogged("replica_close_failed") { failed.close() } }
+                scheduleReopen("replica_unavailable", failure)
             }
-            .onFailure { scheduleReopen("replica_unavailable", it) }
+    }
+
+    private fun startReplica(opened: LocalReplica) {
+        current.set(opened)
+        opened.start()
+        log.write("replica_opened", "identity" to opened.self.identity)
     }
 
     private fun onDiskFailed(failure: Failure) = worker.execute {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/LocalReplica.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/LocalReplica.kt
@@ -17,7 +17,9 @@
 import cassiaspindle.schema.Replica
 import cassiaspindle.storage.DataFolder
 import cassiaspindle.storage.DurableLog
+import cassiaspindle.storage.FolderFiles
 import cassiaspindle.storage.OpenedLog
+import cassiaspindle.storage.diskFiles
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
@@ -46,6 +48,8 @@
     val onProcessed: (ControlReplica) -> Unit,
     /** Called when the disk fails: the state in memory may not be durable, so the replica has to be reopened. */
     val onDiskFailed: (Failure) -> Unit,
+    /** Opens the files of the data folder. */
+    val openFiles: (Path) -> FolderFiles = ::diskFiles,
 )
 
 /** The control replica of a process that has a data folder. */
@@ -121,7 +125,7 @@
             settings: RelaySettings,
             folder: String,
             environment: ReplicaEnvironment,
-        ): Result<LocalReplica, Failure> = DataFolder.open(Path.of(folder)).flatMap { dataFolder ->
+        ): Result<LocalReplica, Failure> = DataFolder.open(Path.of(folder), environment.openFiles).flatMap { dataFolder ->
             DurableLog.open(dataFolder.files)
                 .flatMap { create(settings, environment, dataFolder, it) }
                 .onFailure { dataFolder.close() }
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/ReplicaSupervisorTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/ReplicaSupervisorTest.kt
@@ -13,6 +13,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import java.io.IOException
 import java.io.OutputStream
 import java.io.PrintStream
 import java.nio.file.Files
@@ -48,6 +49,18 @@
         ),
     )
 
+    @Test
+    suspend fun `a replica is opened again after a disk error that its opening did not expect`() {
+        val opens = AtomicInteger()
+        val supervisor = ReplicaSupervisor(log) { onFailed ->
+            if (opens.getAndIncrement() == 0) throw IOException("the disk took no more bytes")
+            open(onFailed)
+        }
+        supervisor.start()
+        eventually(5.seconds) { supervisor.replica?.driver?.controlReplica?.membership() shouldNotBe null }
+        supervisor.close(timeoutMilliseconds = 1_000)
+    }
+
     @Test
     suspend fun `a replica is reopened with the same identity once its failed disk works again`() {
         val failDisk = AtomicReference<(Failure) -> Unit>()
--- a/storage/src/main/kotlin/cassiaspindle/storage/DataFolder.kt
+++ b/storage/src/main/kotlin/cassiaspindle/storage/DataFolder.kt
@@ -25,13 +25,11 @@
 
 /** The data folder of a control replica, locked by one process at a time. */
 class DataFolder private constructor(
-    private val path: Path,
     private val lockChannel: FileChannel,
     private val lock: FileLock,
-) {
     /** The files of the folder. */
-    val files: FolderFiles = diskFiles(path)
-
+    val files: FolderFiles,
+) {
     /** The identity of the folder, which is written and synced at the first start and never changes. */
     fun identity(): String = files.read(IDENTITY_FILE)?.decodeToString()
         ?: newIdentity().also { writeDurably(IDENTITY_FILE, it.encodeToByteArray()) }
@@ -62,8 +60,11 @@
     }
 
     companion object {
-        /** Creates the folder at [path] if needed and locks it; [ResultCode.FOLDER_IN_USE] if it is already locked. */
-        fun open(path: Path): Result<DataFolder, Failure> = try {
+        /**
+         * Creates the folder at [path] if needed and locks it; [ResultCode.FOLDER_IN_USE] if it is already locked.
+         * [openFiles] opens its files.
+         */
+        fun open(path: Path, openFiles: (Path) -> FolderFiles = ::diskFiles): Result<DataFolder, Failure> = try {
             Files.createDirectories(path)
             val lockFile = path.resolve(LOCK_FILE)
             val channel = FileChannel.open(lockFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE)
@@ -72,7 +73,7 @@
                 channel.close()
                 Err(Failure(ResultCode.FOLDER_IN_USE, "$path: another process has locked the data folder"))
             } else {
-                Ok(DataFolder(path, channel, lock))
+                Ok(DataFolder(channel, lock, openFiles(path)))
             }
         } catch (exception: IOException) {
             Err(Failure(ResultCode.SYNC_FAILED, "$path: ${exception.message}"))
