Obey runners that say that they leave, and runners that ask for a pause

What callers saw: requests sent to a runner that had said in its answers that it was leaving, and again and again to one that had turned requests away and asked for time. Cause: neither header was read. Change: a leaving runner is recorded as draining, here at once and at the other entry VMs through the control replicas; that outranks every announcement of the same start. A pause is this entry VM's alone: one readiness table holds it beside the backoffs, the selector and the chain search ask it, and it is no failure.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -17,6 +17,8 @@
 import cassiaspindle.daemon.relay.request.BackEndLossDependencies
 import cassiaspindle.daemon.relay.request.BackEndLossReporter
 import cassiaspindle.daemon.relay.request.BackEndProbe
+import cassiaspindle.daemon.relay.request.BackEndSignalDependencies
+import cassiaspindle.daemon.relay.request.BackEndSignals
 import cassiaspindle.daemon.relay.request.CrashEvidenceSender
 import cassiaspindle.daemon.relay.request.CrashReporter
 import cassiaspindle.daemon.relay.request.CrashReporterDependencies
@@ -33,8 +35,8 @@
 import cassiaspindle.relay.request.RetryBudget
 import cassiaspindle.relay.request.RetryLimits
 import cassiaspindle.relay.route.BackEndSelector
-import cassiaspindle.relay.route.BackoffTable
 import cassiaspindle.relay.route.LoadTable
+import cassiaspindle.relay.route.ReadinessTable
 import cassiaspindle.relay.route.RoutingState
 import cassiaspindle.schema.RelaySettings
 import cassiaspindle.transport.http.server.Metrics
@@ -245,11 +247,11 @@
     )
 
     private fun createRequestHandler(): RelayRequestHandler {
-        val backoffs = BackoffTable()
+        val readiness = ReadinessTable()
         val loads = LoadTable()
         val entryCount =
             { maxOf(1, fleetState.entries.entries.count { it.availabilityZone == settings.availabilityZone }) }
-        val routingState = RoutingState(fleetState.runners, backoffs, loads, entryCount)
+        val routingState = RoutingState(fleetState.runners, readiness, loads, entryCount)
         val relay = RequestRelay(
             RelayDependencies(
                 backEndSelector = BackEndSelector(routingState, settings.availabilityZone, environment.random),
@@ -259,7 +261,7 @@
                     StallDetector(connectionPool, protocol.backEnds, clock.monotonicMilliseconds),
                     clock.monotonicMilliseconds,
                 ),
-                backoffs = backoffs,
+                readiness = readiness,
                 loads = loads,
                 retryBudget = RetryBudget(
                     RetryLimits(settings.repeatRatio, settings.repeatReserve, settings.repeatWindowMilliseconds),
@@ -269,6 +271,17 @@
                 metrics = metrics,
                 stallTimeoutMilliseconds = settings.stallMilliseconds,
                 now = clock.monotonicMilliseconds,
+                signals = BackEndSignals(
+                    BackEndSignalDependencies(
+                        readiness,
+                        fleetState,
+                        replicaConnections,
+                        log,
+                        metrics,
+                        scope,
+                        clock.monotonicMilliseconds,
+                    ),
+                ),
                 contentGuard = fleetState.contentGuard,
                 crashReporter = crashReporter,
                 acquireTrial = TrialClient(settings.name, commandClient, log)::acquire,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/LocalReplica.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/LocalReplica.kt
@@ -125,11 +125,12 @@
             settings: RelaySettings,
             folder: String,
             environment: ReplicaEnvironment,
-        ): Result<LocalReplica, Failure> = DataFolder.open(Path.of(folder), environment.openFiles).flatMap { dataFolder ->
-            DurableLog.open(dataFolder.files)
-                .flatMap { create(settings, environment, dataFolder, it) }
-                .onFailure { dataFolder.close() }
-        }
+        ): Result<LocalReplica, Failure> =
+            DataFolder.open(Path.of(folder), environment.openFiles).flatMap { dataFolder ->
+                DurableLog.open(dataFolder.files)
+                    .flatMap { create(settings, environment, dataFolder, it) }
+                    .onFailure { dataFolder.close() }
+            }
 
         /** Creates the replica. A new folder gets its identity here, which fails on a full disk. */
         private fun create(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/CallerRequest.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/CallerRequest.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.daemon.relay.protocol
 
 import cassiaspindle.relay.route.LayerChain
+import cassiaspindle.relay.route.RequestedPause
 import cassiaspindle.transport.relay.Header
 
 /** A decoded request of a caller. */
@@ -59,6 +60,10 @@
     val requestId: String?,
     /** Whether it carries the signature of a backend server. */
     val isSigned: Boolean,
+    /** Whether it states that the backend server is leaving. */
+    val isLeaving: Boolean,
+    /** The pause that the backend server asks this entry VM for, or null. */
+    val requestedPause: RequestedPause?,
     /** Whether it states that the request did not run. */
     val isNotRun: Boolean,
     /** Address of the backend server at fault, or null. */
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptExecutor.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptExecutor.kt
@@ -30,6 +30,8 @@
     val context: BackEndCallContext,
     /** Host and port of the backend server. */
     val address: String,
+    /** Called with the head of the response, as soon as it is read. */
+    val onResponseHead: (BackEndResponseHead) -> Unit,
     /** Time without progress after which the attempt fails, in milliseconds. */
     val silenceTimeoutMilliseconds: Long,
     /** Reroutes the request around the runner that it waits for; returns false if that fails. */
@@ -74,7 +76,10 @@
         val faultyAddress: String?,
         val response: Complete? = null,
         val cause: FailureCause = FailureCause.OTHER,
-    ) : AttemptResult
+    ) : AttemptResult {
+        /** Whether the backend server turned the request away and asked for a pause, which is no fault. */
+        val isPaused: Boolean get() = response?.head?.requestedPause != null
+    }
 }
 
 /** Sends requests to backend servers and reads the start of their responses. */
@@ -145,16 +150,27 @@
             head.requestId != null && head.requestId != attempt.request.id ->
                 interruptedResult(attempt, "foreign_answer")
             head.requestId == null && !connection.isFirstExchange -> interruptedResult(attempt, "answer_for_no_request")
-            head.isSuccess && !head.isTrustworthy -> interruptedResult(attempt, "unsigned_success")
-            head.isSuccess && head.isEventStream ->
-                startStream(EventStreamReader(head, connection, reader, reservation), attempt)
             else -> {
-                val body = connection.readWholeBody(MAXIMUM_RESPONSE_BYTES, reservation)
-                resultOf(AttemptResult.Complete(head, body, connection.isDelimited), attempt)
+                attempt.onResponseHead(head)
+                receiveBody(head, connection, attempt, EventStreamReader(head, connection, reader, reservation))
             }
         }
     }
 
+    private suspend fun receiveBody(
+        head: BackEndResponseHead,
+        connection: RunnerConnection,
+        attempt: AttemptRequest,
+        stream: EventStreamReader,
+    ): AttemptResult = when {
+        head.isSuccess && !head.isTrustworthy -> interruptedResult(attempt, "unsigned_success")
+        head.isSuccess && head.isEventStream -> startStream(stream, attempt)
+        else -> {
+            val body = connection.readWholeBody(MAXIMUM_RESPONSE_BYTES, stream.reservation)
+            resultOf(AttemptResult.Complete(head, body, connection.isDelimited), attempt)
+        }
+    }
+
     private suspend fun startStream(stream: EventStreamReader, attempt: AttemptRequest): AttemptResult =
         if (stream.awaitEvent()) {
             AttemptResult.Streaming(stream)
--- /dev/null
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/BackEndSignals.kt
@@ -0,0 +1,67 @@
+package cassiaspindle.daemon.relay.request
+
+import cassiaspindle.daemon.relay.fleet.FleetState
+import cassiaspindle.daemon.relay.fleet.ReplicaConnections
+import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.daemon.relay.protocol.BackEndResponseHead
+import cassiaspindle.relay.route.ReadinessTable
+import cassiaspindle.relay.route.RequestedPause
+import cassiaspindle.schema.RunnerNotice
+import cassiaspindle.schema.RunnerState
+import cassiaspindle.transport.http.server.Metrics
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+
+/** Time limit for a quorum of control replicas to acknowledge that a backend server leaves, in milliseconds. */
+private const val LEAVE_TIMEOUT_MILLISECONDS = 700L
+
+/** Dependencies of [BackEndSignals]. */
+internal data class BackEndSignalDependencies(
+    val readiness: ReadinessTable,
+    val fleetState: FleetState,
+    val replicaConnections: ReplicaConnections,
+    val log: EventLog,
+    val metrics: Metrics,
+    val scope: CoroutineScope,
+    val now: () -> Long,
+)
+
+/** Obeys what the responses of backend servers say of their readiness, besides their announcements. */
+internal class BackEndSignals(private val dependencies: BackEndSignalDependencies) {
+    /** Handles the head of a response of [runner]; never blocks. */
+    fun observe(runner: RunnerNotice, head: BackEndResponseHead) {
+        head.requestedPause?.let { recordPause(runner, it) }
+        if (head.isLeaving) recordLeaving(runner)
+    }
+
+    /** A pause is this entry VM's alone: the backend server asked no other one. */
+    private fun recordPause(runner: RunnerNotice, pause: RequestedPause) {
+        val granted = dependencies.readiness.recordPause(runner, pause, dependencies.now())
+        dependencies.metrics.countEvent("runner_paused")
+        dependencies.log.write(
+            if (pause.milliseconds == null) "runner_pause_unreadable" else "runner_paused",
+            "runner" to runner.id,
+            "address" to runner.address,
+            "asked_s" to pause.text,
+            "granted_ms" to granted,
+        )
+    }
+
+    /**
+     * Leaving is final for this start of the backend server: the notice supersedes each announcement of it that is
+     * still under way, here and, through the control replicas, at the other entry VMs.
+     */
+    private fun recordLeaving(runner: RunnerNotice) {
+        val known = dependencies.fleetState.runners.find(runner.id) ?: runner
+        if (known.bornMilliseconds != runner.bornMilliseconds) return
+        val notice = known.copy(state = RunnerState.DRAINING)
+        if (!dependencies.fleetState.applyNotice(notice)) return
+        dependencies.metrics.countEvent("runner_leaving")
+        dependencies.log.write("runner_leaving", "runner" to runner.id, "address" to runner.address)
+        dependencies.scope.launch {
+            val replicas = dependencies.replicaConnections.replicas
+            val required = replicas.size / 2 + 1
+            dependencies.replicaConnections.sendNotice(notice, replicas, required, LEAVE_TIMEOUT_MILLISECONDS)
+        }
+    }
+}
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/ErrorResponse.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/ErrorResponse.kt
@@ -23,7 +23,12 @@
 private val HEADERS_TOO_LARGE = HttpStatusCode(value = 431, description = "Request Header Fields Too Large")
 
 /** An error response of this entry VM to the request [requestId]. */
-internal data class ErrorResponse(val code: ResultCode, val requestId: String?)
+internal data class ErrorResponse(
+    val code: ResultCode,
+    val requestId: String?,
+    /** Time after which the caller may try again, in milliseconds, or null for the usual one of [code]. */
+    val retryAfterMilliseconds: Long? = null,
+)
 
 /** Responds with [error]; [closingHeaders] ask the caller to close the connection. */
 internal suspend fun RelayCall.respondError(
@@ -32,7 +37,8 @@
     closingHeaders: List<Header>,
 ) {
     val status = statusOf(error.code)
-    val retryAfter = retryAfterMilliseconds(error.code).takeIf { status == HttpStatusCode.ServiceUnavailable }
+    val retryAfter = (error.retryAfterMilliseconds ?: retryAfterMilliseconds(error.code))
+        .takeIf { status == HttpStatusCode.ServiceUnavailable }
     val headers = protocol.errorHeaders(error.requestId, retryAfter) + closingHeaders
     val body = "code=${error.code.number} name=${error.code}\n"
     respond(ResponseHead(status.value, status.description, headers), body.encodeToByteArray())
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/EventStreamReader.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/EventStreamReader.kt
@@ -30,7 +30,7 @@
     private val connection: RunnerConnection,
     private val reader: StallAwareReader,
     /** Holds the bytes of an incomplete event. */
-    private val reservation: BufferBudget.Reservation,
+    val reservation: BufferBudget.Reservation,
 ) {
     /** Whether the response states where the stream ends. */
     val isDelimited: Boolean get() = connection.isDelimited
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
@@ -48,7 +48,7 @@
             step = attemptOnce()
         }
         when (step) {
-            is NextStep.GiveUp -> giveUp(step.code)
+            is NextStep.GiveUp -> giveUp(step)
             NextStep.BreakOff -> breakOff()
             else -> Unit
         }
@@ -57,14 +57,18 @@
     /** Makes one attempt; returns null if the response is complete, else the next step. */
     private suspend fun attemptOnce(): NextStep? {
         val isExpired = remainingMilliseconds <= 0
-        val route = { dependencies.backEndSelector.select(relayed.routeRequest(triedAddresses, dependencies.now())) }
-        val refusal = if (isExpired) null else crashGuard.findRefusal { route().isOk }
+        val selector = dependencies.backEndSelector
+        val routeRequest = { relayed.routeRequest(triedAddresses, dependencies.now()) }
+        val refusal = if (isExpired) null else crashGuard.findRefusal { selector.select(routeRequest()).isOk }
         return when {
             isExpired -> stepAfterDeadline(isStreaming = streamWriter != null)
             refusal != null -> stepAfterRefusal(refusal, context, streamWriter != null)
-            else -> route().fold(
+            else -> selector.select(routeRequest()).fold(
                 success = { attemptAt(it, remainingMilliseconds) },
-                failure = { stepWithoutBackEnd(it, context, streamWriter != null) },
+                failure = { reason ->
+                    val retryAfter = selector.retryAfterPauseMilliseconds(routeRequest())
+                    stepWithoutBackEnd(reason, context, streamWriter != null, retryAfter)
+                },
             )
         }
     }
@@ -79,6 +83,7 @@
             relayed.body,
             relayed.contextFor(choice, remainingMilliseconds, lastEventId),
             choice.backEnd.address,
+            { dependencies.signals.observe(choice.backEnd, it) },
             choice.chain
                 ?.let { chainSilenceTimeoutMilliseconds(admitted.route, dependencies.stallTimeoutMilliseconds) }
                 ?: silenceTimeoutMilliseconds(context),
@@ -152,7 +157,7 @@
     }
 
     private fun recordSuccess(vararg fields: Pair<String, Any?>): NextStep? {
-        dependencies.backoffs.recordSuccess(currentAttemptRoute?.addresses.orEmpty())
+        dependencies.readiness.recordSuccess(currentAttemptRoute?.addresses.orEmpty())
         logger.logRequestEnd("request_answered", attempts, *fields)
         return null
     }
@@ -161,7 +166,8 @@
         val notRun = result.failure == AttemptFailure.NotRun || result.failure == AttemptFailure.NotSent
         mayHaveRun = mayHaveRun || !notRun
         if (result.failure == AttemptFailure.NotSent) attempts--
-        result.faultyAddress?.let { dependencies.recordFault(it, lossEvidenceOf(result, choice.backEnd.address)) }
+        result.faultyAddress?.takeUnless { result.isPaused }
+            ?.let { dependencies.recordFault(it, lossEvidenceOf(result, choice.backEnd.address)) }
         val failureContext = context
         val step = if (crashGuard.mayHaveCrashed(result, choice)) {
             stepAfterCrash(isStreaming = streamWriter != null)
@@ -175,10 +181,12 @@
         return if (response == null) step else respondComplete(response, choice)
     }
 
-    private suspend fun giveUp(code: ResultCode) {
+    private suspend fun giveUp(step: NextStep.GiveUp) {
+        val code = step.code
         dependencies.metrics.count(code)
         logger.logRequestEnd("request_failed", attempts, "code" to code.number, "name" to code)
-        call.respondError(ErrorResponse(code, request.id), dependencies.protocol, relayed.closingHeaders)
+        val error = ErrorResponse(code, request.id, step.retryAfterMilliseconds)
+        call.respondError(error, dependencies.protocol, relayed.closingHeaders)
     }
 
     private fun breakOff(): Nothing {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
@@ -5,8 +5,8 @@
 import cassiaspindle.relay.crash.ContentGuard
 import cassiaspindle.relay.request.RetryBudget
 import cassiaspindle.relay.route.BackEndSelector
-import cassiaspindle.relay.route.BackoffTable
 import cassiaspindle.relay.route.LoadTable
+import cassiaspindle.relay.route.ReadinessTable
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.relay.Header
 import cassiaspindle.transport.relay.RelayCall
@@ -15,7 +15,7 @@
 internal data class RelayDependencies(
     val backEndSelector: BackEndSelector,
     val attemptExecutor: AttemptExecutor,
-    val backoffs: BackoffTable,
+    val readiness: ReadinessTable,
     val loads: LoadTable,
     val retryBudget: RetryBudget,
     val protocol: CallerProtocol,
@@ -24,6 +24,7 @@
     /** Time after which the runners of a chain end work that waits for a lost one, in milliseconds. */
     val stallTimeoutMilliseconds: Long,
     val now: () -> Long,
+    val signals: BackEndSignals,
     val contentGuard: ContentGuard,
     val crashReporter: CrashReporter,
     /** Acquires the lease to try a suspected content; returns whether it was granted. */
@@ -33,7 +34,7 @@
 ) {
     /** Makes requests avoid the backend server at [address] for a while, and reports [evidence] of its loss, if any. */
     fun recordFault(address: String, evidence: LossEvidence) {
-        backoffs.recordFailure(address, now())
+        readiness.recordFailure(address, now())
         if (evidence != LossEvidence.NONE) onLossEvidence(address, evidence)
     }
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
@@ -38,7 +38,11 @@
     data class Repeat(val lastEventId: String?) : NextStep
 
     /** Respond to the caller with the error [code]. */
-    data class GiveUp(val code: ResultCode) : NextStep
+    data class GiveUp(
+        val code: ResultCode,
+        /** Time after which the caller may try again, in milliseconds, or null for the usual one of [code]. */
+        val retryAfterMilliseconds: Long? = null,
+    ) : NextStep
 
     /** Abort the stream so that the caller can tell it from a complete one. */
     data object BreakOff : NextStep
@@ -119,11 +123,20 @@
     }
 }
 
-/** Decides the step if no backend server was selected for the request, because of [reason]. */
-fun stepWithoutBackEnd(reason: NoRoute, context: AttemptContext, isStreaming: Boolean): NextStep = when {
+/**
+ * Decides the step if no backend server was selected for the request, because of [reason]; [pauseMilliseconds] is the
+ * time after which a paused one takes requests again.
+ */
+fun stepWithoutBackEnd(
+    reason: NoRoute,
+    context: AttemptContext,
+    isStreaming: Boolean,
+    pauseMilliseconds: Long? = null,
+): NextStep = when {
     isStreaming -> NextStep.BreakOff
     context.mayHaveRun -> NextStep.GiveUp(ResultCode.BACK_END_LOST)
     reason == NoRoute.NO_ROOM -> NextStep.GiveUp(ResultCode.OVERLOADED)
+    reason == NoRoute.PAUSED -> NextStep.GiveUp(ResultCode.BACK_ENDS_PAUSED, pauseMilliseconds)
     else -> NextStep.GiveUp(ResultCode.NO_BACK_END)
 }
 
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndSelector.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndSelector.kt
@@ -4,15 +4,11 @@
 import cassiaspindle.relay.fleet.RunnerTable
 import cassiaspindle.relay.placement.LayerRange
 import cassiaspindle.relay.placement.MAXIMUM_HOPS
-import cassiaspindle.relay.placement.kindOf
-import cassiaspindle.relay.placement.layerRange
-import cassiaspindle.relay.placement.tokenCapacity
 import cassiaspindle.schema.EngineDescription
 import cassiaspindle.schema.RunnerNotice
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import java.util.concurrent.atomic.AtomicReference
 
 /** Cost of a hop over a fully utilized runner, in milliseconds per token; proportional to the utilization. */
 private const val FULL_UTILIZATION_COST_MILLISECONDS = 4.0
@@ -24,6 +20,9 @@
 /** A chain in another zone is chosen only if its utilization is lower by more than this than that of the local one. */
 private const val OTHER_ZONE_UTILIZATION_MARGIN = 0.15
 
+/** Divisor of a pause for the random time that is added to it. */
+private const val RETRY_SPREAD_DIVISOR = 4
+
 /** The properties of a request that determine its route. */
 data class RouteRequest(
     val service: String,
@@ -57,12 +56,15 @@
 
     /** The available ones have no capacity for the request. */
     NO_ROOM,
+
+    /** Those without which there is none have asked for a pause. */
+    PAUSED,
 }
 
 /** The state on which a choice depends. */
 data class RoutingState(
     val runners: RunnerTable,
-    val backoffs: BackoffTable,
+    val readiness: ReadinessTable,
     val loads: LoadTable,
     /** Number of entry VMs that send to the same backend servers, including this one. */
     val entryCount: () -> Int,
@@ -74,7 +76,8 @@
     private val availabilityZone: String,
     private val random: RandomSource,
 ) {
-    private val fleetsByService = AtomicReference<Map<String, Fleet>>(emptyMap())
+    private val fleets = ServiceFleets(routingState.runners)
+    private val utilization = UtilizationEstimate(routingState.loads)
 
     /** Returns the choice for [request], or the reason why there is none. */
     fun select(request: RouteRequest): Result<RouteChoice, NoRoute> {
@@ -90,11 +93,11 @@
      */
     fun reroute(chain: LayerChain, request: RouteRequest): LayerChain? {
         val engine = request.engine ?: return null
-        val available = fleetOf(request).runners.filterNot { isAvoided(it, request) }
+        val available = fleets.of(request.service).runners.filterNot { isAvoided(it, request) }
         val keptIds = chain.hops.filter { hop -> available.any { it.id == hop.runner.id } }.map { it.runner.id }.toSet()
         val candidates = available.filter { it.availabilityZone == chain.first.availabilityZone && it.id !in keptIds }
         val entryCount = routingState.entryCount()
-        val utilizations = candidates.associate { it.id to utilizationOf(it, request, engine, entryCount) }
+        val utilizations = candidates.associate { it.id to utilization.of(it, request, engine, entryCount) }
         val hops = chain.hops.flatMap { hop ->
             val replacement = if (hop.runner.id in keptIds) {
                 null
@@ -107,9 +110,21 @@
         return chain.copy(hops = hops).takeIf { chain.first.id in keptIds && isComplete && hops.size <= MAXIMUM_HOPS }
     }
 
+    /**
+     * Time after which the caller of [request] may try again, in milliseconds: the first of the paused backend servers
+     * takes requests again then. A random part keeps callers from coming back together.
+     */
+    fun retryAfterPauseMilliseconds(request: RouteRequest): Long {
+        val shortest = fleets.of(request.service).runners
+            .mapNotNull { readinessOf(it, request) as? Readiness.Paused }
+            .minOfOrNull { it.untilMilliseconds - request.nowMilliseconds } ?: 0
+        return shortest + random((shortest / RETRY_SPREAD_DIVISOR).toInt() + 1)
+    }
+
     private fun selectInstance(request: RouteRequest): Result<RouteChoice, NoRoute> {
-        val untried = fleetOf(request).runners.filter { it.address !in request.triedAddresses }
-        val available = untried.filterNot { isAvoided(it, request) }.ifEmpty { untried }
+        val untried = fleets.of(request.service).runners.filter { it.address !in request.triedAddresses }
+        val unpaused = untried.filterNot { readinessOf(it, request) is Readiness.Paused }
+        val available = unpaused.filter { readinessOf(it, request) == Readiness.Ready }.ifEmpty { unpaused }
         return available
             .map {
                 Candidate(
@@ -120,24 +135,32 @@
             }
             .minWithOrNull(compareBy({ it.load }, { it.runner.availabilityZone != availabilityZone }, { it.tieBreak }))
             ?.let { Ok(RouteChoice(it.runner, chain = null)) }
-            ?: Err(NoRoute.NO_BACK_END)
+            ?: Err(if (untried.isEmpty()) NoRoute.NO_BACK_END else NoRoute.PAUSED)
     }
 
     private fun selectChain(request: RouteRequest, engine: EngineDescription): Result<RouteChoice, NoRoute> {
-        val zones = fleetOf(request).zones.mapValues { (_, runners) ->
+        val zones = fleets.of(request.service).zones.mapValues { (_, runners) ->
             runners.filterNot { it.address in request.triedAddresses || isAvoided(it, request) }
         }
         val entryCount = routingState.entryCount()
-        val utilizations = zones.values.flatten().associate { it.id to utilizationOf(it, request, engine, entryCount) }
+        val utilizations = zones.values.flatten().associate { it.id to utilization.of(it, request, engine, entryCount) }
         val withCapacity = zones.mapValues { (_, runners) -> runners.filter { utilizations.getValue(it.id) <= 1 } }
         val chain = bestChain(withCapacity, engine, utilizations)
         return when {
             chain != null -> Ok(RouteChoice(chain.first, chain))
-            bestChain(zones, engine, utilizations) == null -> Err(NoRoute.NO_BACK_END)
-            else -> Err(NoRoute.NO_ROOM)
+            bestChain(zones, engine, utilizations) != null -> Err(NoRoute.NO_ROOM)
+            else -> Err(reasonWithoutChain(request, engine))
         }
     }
 
+    private fun reasonWithoutChain(request: RouteRequest, engine: EngineDescription): NoRoute {
+        val (paused, others) = fleets.of(request.service).runners
+            .filterNot { it.address in request.triedAddresses || readinessOf(it, request) == Readiness.Avoided }
+            .partition { readinessOf(it, request) is Readiness.Paused }
+        val needsPaused = paused.isNotEmpty() && findChain(paused + others, engine) != null
+        return if (needsPaused) NoRoute.PAUSED else NoRoute.NO_BACK_END
+    }
+
     /** Prefers the local zone unless another is much less utilized; uses several zones if none has a whole chain. */
     private fun bestChain(
         zones: Map<String, List<RunnerNotice>>,
@@ -145,11 +168,11 @@
         utilizations: Map<String, Double>,
     ): LayerChain? {
         val local = cheapestChain(zones[availabilityZone].orEmpty(), engine, utilizations)
-        val isLocalPreferred = local != null && utilizationOf(local, utilizations) <= OTHER_ZONE_UTILIZATION_MARGIN
+        val isLocalPreferred = local != null && local.utilization(utilizations) <= OTHER_ZONE_UTILIZATION_MARGIN
         val otherZones = if (isLocalPreferred) emptyList() else zones.minus(availabilityZone).values
         val complete = listOfNotNull(local) + otherZones.mapNotNull { cheapestChain(it, engine, utilizations) }
         return complete.minByOrNull { chain ->
-            utilizationOf(chain, utilizations) + if (chain === local) 0.0 else OTHER_ZONE_UTILIZATION_MARGIN
+            chain.utilization(utilizations) + if (chain === local) 0.0 else OTHER_ZONE_UTILIZATION_MARGIN
         } ?: cheapestChain(zones.values.flatten(), engine, utilizations)
     }
 
@@ -163,46 +186,15 @@
         utilizations.getValue(runner.id) * FULL_UTILIZATION_COST_MILLISECONDS + jitter
     }
 
-    /**
-     * Estimated utilization of [runner] with this request included; 1 is its whole capacity. Only the first runner of a
-     * chain has a limit on requests.
-     */
-    private fun utilizationOf(
-        runner: RunnerNotice,
-        request: RouteRequest,
-        engine: EngineDescription,
-        entryCount: Int,
-    ): Double {
-        val range = runner.layerRange()
-        val capacity = engine.kindOf(runner)?.let { engine.tokenCapacity(it, range?.size ?: 0) } ?: 0
-        val load = routingState.loads.loadOf(runner.id, request.nowMilliseconds)
-        val tokenUtilization = (load.estimatedTokens(entryCount) + request.tokens) / maxOf(1, capacity)
-        val slotUtilization = (load.estimatedRequests(entryCount) + 1) / maxOf(1, runner.slots)
-        return if (range?.first == 0) maxOf(tokenUtilization, slotUtilization) else tokenUtilization
-    }
-
-    private fun utilizationOf(chain: LayerChain, utilizations: Map<String, Double>): Double =
-        chain.hops.maxOf { utilizations.getValue(it.runner.id) }
-
-    /** The backend servers of the service; cached until the runner table changes. */
-    private fun fleetOf(request: RouteRequest): Fleet {
-        val revision = routingState.runners.revision
-        val cached = fleetsByService.get()[request.service]
-        if (cached != null && cached.revision == revision) return cached
-        val runners = routingState.runners.usable().filter { it.service == request.service }
-        val fleet = Fleet(revision, runners, runners.groupBy(RunnerNotice::availabilityZone))
-        fleetsByService.updateAndGet { it + (request.service to fleet) }
-        return fleet
-    }
-
     private fun isAvoided(runner: RunnerNotice, request: RouteRequest) =
-        routingState.backoffs.isAvoided(runner.address, request.nowMilliseconds)
+        readinessOf(runner, request) != Readiness.Ready
 
-    private data class Fleet(
-        val revision: Long,
-        val runners: List<RunnerNotice>,
-        val zones: Map<String, List<RunnerNotice>>,
-    )
+    private fun readinessOf(runner: RunnerNotice, request: RouteRequest): Readiness =
+        routingState.readiness.readinessOf(runner, request.nowMilliseconds)
 
     private data class Candidate(val runner: RunnerNotice, val load: Int, val tieBreak: Int)
 }
+
+/** Utilization of the runner in the chain that is utilized most. */
+private fun LayerChain.utilization(utilizations: Map<String, Double>): Double =
+    hops.maxOf { utilizations.getValue(it.runner.id) }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/route/BackEndSelectorTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/route/BackEndSelectorTest.kt
@@ -10,25 +10,26 @@
 import com.github.michaelbull.result.getError
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.doubles.plusOrMinus
+import io.kotest.matchers.longs.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
 
 class BackEndSelectorTest : AnnotationSpec() {
     private var runners = RunnerTable()
-    private var backoffs = BackoffTable()
+    private var readiness = ReadinessTable()
     private var loads = LoadTable()
     private var selector = newSelector()
 
     @BeforeEach
     fun reset() {
         runners = RunnerTable()
-        backoffs = BackoffTable()
+        readiness = ReadinessTable()
         loads = LoadTable()
         selector = newSelector()
     }
 
     private fun newSelector() =
-        BackEndSelector(RoutingState(runners, backoffs, loads, entryCount = { 1 }), "a", seededRandom(1))
+        BackEndSelector(RoutingState(runners, readiness, loads, entryCount = { 1 }), "a", seededRandom(1))
 
     private fun request(model: Boolean, tokens: Int = 100, at: Long = 0, tried: Set<String> = emptySet()) =
         RouteRequest("model", engine.takeIf { model }, tokens, tried, at)
@@ -48,12 +49,38 @@
     @Test
     fun `an instance that failed is avoided until its backoff ends, and no instance is tried twice`() {
         announce("a1", "b1")
-        backoffs.recordFailure("a1:80", nowMilliseconds = 0)
+        readiness.recordFailure("a1:80", nowMilliseconds = 0)
         selectedId(request(model = false)) shouldBe "b1"
         selectedId(request(model = false, tried = setOf("b1:80"))) shouldBe "a1"
         selectedId(request(model = false, at = 1_000)) shouldBe "a1"
     }
 
+    @Test
+    fun `a paused instance gets no request, even if it is the only one`() {
+        announce("a1", "b1")
+        pause("a1")
+        selectedId(request(model = false)) shouldBe "b1"
+        pause("b1")
+        selector.select(request(model = false)).getError() shouldBe NoRoute.PAUSED
+        selector.retryAfterPauseMilliseconds(request(model = false, at = 500)) shouldBeInRange 1_500L..1_875L
+        selectedId(request(model = false, at = 2_000)) shouldBe "a1"
+    }
+
+    @Test
+    fun `no chain goes over a paused runner`() {
+        fun offerChain(zone: String) = listOf(0, 40).forEachIndexed { index, first ->
+            runners.offer(runner("$zone${index + 1}", "large", zone).holding(first, first + 40), 0)
+        }
+        offerChain("a")
+        pause("a2")
+        selector.select(request(model = true)).getError() shouldBe NoRoute.PAUSED
+        offerChain("b")
+        selectedId(request(model = true)) shouldBe "b1"
+    }
+
+    private fun pause(id: String) =
+        runners.find(id)?.let { readiness.recordPause(it, RequestedPause("2", 2_000), nowMilliseconds = 0) }
+
     @Test
     fun `the chain of another zone is chosen if the local zone lost a runner`() {
         listOf("a" to 0, "b" to 0).forEach { (zone, first) ->
@@ -61,7 +88,7 @@
             runners.offer(runner("${zone}2", "large", zone).holding(40, 80), 0)
         }
         selectedId(request(model = true)) shouldBe "a1"
-        backoffs.recordFailure("a2:80", 500)
+        readiness.recordFailure("a2:80", 500)
         selectedId(request(model = true, at = 500)) shouldBe "b1"
     }
 
@@ -101,7 +128,7 @@
     fun `the next request avoids a failed runner and uses the other runners of the zone`() {
         stages()
         selector.select(request(model = true, at = 100)).get() shouldNotBe null
-        backoffs.recordFailure("b1:80", nowMilliseconds = 100)
+        readiness.recordFailure("b1:80", nowMilliseconds = 100)
         repeat(20) { selector.select(request(model = true, at = 100)).get()?.ids?.contains("b1") shouldBe false }
         selector.select(request(model = true, at = 100, tried = setOf("a1:80"))).get()?.ids shouldBe listOf("a2", "b2")
     }
@@ -111,15 +138,15 @@
         stages()
         val chain = checkNotNull(selector.select(request(model = true)).get()?.chain)
         val (first, second) = chain.hops.map { it.runner }
-        backoffs.recordFailure(second.address, nowMilliseconds = 100)
+        readiness.recordFailure(second.address, nowMilliseconds = 100)
         val other = if (second.id == "b1") "b2" else "b1"
         val rerouted = selector.reroute(chain, request(model = true, at = 100))
         rerouted?.hops?.map { it.runner.id to it.layers } shouldBe
             listOf(first.id to LayerRange(0, 40), other to LayerRange(40, 80))
-        backoffs.recordFailure("$other:80", nowMilliseconds = 100)
+        readiness.recordFailure("$other:80", nowMilliseconds = 100)
         selector.reroute(chain, request(model = true, at = 100)) shouldBe null
-        backoffs.recordSuccess(listOf("$other:80"))
-        backoffs.recordFailure(first.address, nowMilliseconds = 100)
+        readiness.recordSuccess(listOf("$other:80"))
+        readiness.recordFailure(first.address, nowMilliseconds = 100)
         selector.reroute(chain, request(model = true, at = 100)) shouldBe null
     }
 
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/HttpServer.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/HttpServer.kt
@@ -33,6 +33,10 @@
     /** Counts bytes sent to other processes of the system. */
     fun countPeerBytes(bytes: Int) = peerBytes.increment(bytes.toDouble())
 
+    /** Counts an occurrence of [event]. */
+    fun countEvent(event: String) =
+        Counter.builder("cassiaspindle.events").tag("event", event).register(registry).increment()
+
     /** Counts a result with [code]. */
     fun count(code: ResultCode) {
         Counter.builder("cassiaspindle.results").tag("code", code.number.toString()).register(registry).increment()
