--- a/command/src/main/kotlin/cassiaspindle/command/measure/HistoryMeasurements.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/HistoryMeasurements.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.command.measure
 
 import cassiaspindle.history.control.ControlSimulation
+import cassiaspindle.history.crash.CrashSimulation
 import cassiaspindle.history.request.RequestSimulation
 
 private const val HISTORIES_PER_ROW = 1_000L
@@ -19,6 +20,13 @@
         HistoryResult(result.violations, result.answers)
     }
 
+/** Simulates random histories of requests that crash runners with consecutive seeds; none may violate a guarantee. */
+internal fun measureCrashHistories(options: MeasurementOptions, print: RowPrinter): MeasurementResult =
+    measureHistories(options, print) { seed ->
+        val result = CrashSimulation(seed).run()
+        HistoryResult(result.violations, result.answered)
+    }
+
 private fun measureHistories(
     options: MeasurementOptions,
     print: RowPrinter,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -55,7 +55,7 @@
     private val suspicionPublisher = SuspicionPublisher(
         SuspicionEnvironment(
             environment.log,
-            blockedContents = { supervisor.replica?.driver?.controlReplica?.reads?.blockedContents() },
+            decisions = { supervisor.replica?.driver?.controlReplica?.reads?.contentDecisions() },
             settings.blockMilliseconds,
             environment.clock.wallMilliseconds,
             environment.clock.monotonicMilliseconds,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ContentBlocker.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ContentBlocker.kt
@@ -16,7 +16,7 @@
             log.write(
                 "content_command",
                 "kind" to command.kind,
-                "content" to command.blockedContent?.content,
+                "content" to (command.blockedContent?.content ?: command.trial?.content),
                 "runners" to command.blockedContent?.runners,
                 "entries" to command.blockedContent?.reporters,
                 "code" to outcome.code,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/SuspicionPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/SuspicionPublisher.kt
@@ -1,10 +1,12 @@
 package cassiaspindle.daemon.relay.fleet
 
+import cassiaspindle.control.blocking.ContentDecisions
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.relay.crash.CrashEvidenceTable
 import cassiaspindle.relay.crash.suspicionDigestOf
 import cassiaspindle.schema.BlockedContent
 import cassiaspindle.schema.ContentSuspicion
+import cassiaspindle.schema.ContentTrial
 import cassiaspindle.schema.ControlCommand
 import cassiaspindle.schema.ControlCommandKind
 import cassiaspindle.schema.CrashEvidence
@@ -14,11 +16,14 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
 
+/** Time after which a suspicion is made durable, in milliseconds: most are cleared before. */
+private const val LASTING_MILLISECONDS = 1_500L
+
 /** Dependencies of [SuspicionPublisher]. */
 data class SuspicionEnvironment(
     val log: EventLog,
-    /** The blocked contents that the local replica has applied, or null while it may be stale. */
-    val blockedContents: () -> List<BlockedContent>?,
+    /** What the local replica has applied, or null while it may be stale. */
+    val decisions: () -> ContentDecisions?,
     /** How long contents stay blocked, in milliseconds. */
     val blockMilliseconds: Long,
     val wallMilliseconds: () -> Long,
@@ -62,7 +67,7 @@
     /** Assesses the evidence; returns the news for all followers, or null if nothing changed. */
     fun tick(): FleetNews? {
         val previous = current.get()
-        environment.blockedContents()?.let { assess(it, previous) }
+        environment.decisions()?.let { assess(it, previous) }
         val changed = current.get().takeIf { it?.digest != previous?.digest }
         val cleared = generateSequence(newlyCleared::poll).toList()
         return newsOf(changed, cleared).takeIf { changed != null || cleared.isNotEmpty() }
@@ -81,21 +86,39 @@
     /** The commands that follow from the evidence, for the leader to propose. */
     fun dueCommands(): List<ControlCommand> {
         val known = current.get() ?: return emptyList()
-        val expiry = environment.wallMilliseconds() - environment.blockMilliseconds
-        val cleared = if (known.blocked.isEmpty()) emptySet() else evidence.cleared().toSet()
-        val due = known.blocked.filter { it.blockedMilliseconds < expiry || (!it.byOperator && it.content in cleared) }
-        return due.map { ControlCommand(ControlCommandKind.UNBLOCK_CONTENT, blockedContent = it) } +
+        val recorded = undurable(known).map { ContentTrial(it, entry = "") }
+        val released = expiredOrCleared(known.decisions)
+        return recorded.map { ControlCommand(ControlCommandKind.START_TRIAL, trial = it) } +
+            released.map { ControlCommand(ControlCommandKind.UNBLOCK_CONTENT, blockedContent = it) } +
             known.toBlock.map { ControlCommand(ControlCommandKind.BLOCK_CONTENT, blockedContent = it) }
     }
 
-    private fun assess(blocked: List<BlockedContent>, previous: Suspicions?) {
-        val contents = blocked.map(BlockedContent::content).toSet()
-        val unblocked = previous?.blocked.orEmpty().map(BlockedContent::content).toSet() - contents
-        evidence.forget(unblocked)
-        val assessment = evidence.assess(contents, environment.now())
-        val suspicions = assessment.suspicions.filter { it.content !in contents } +
-            blocked.map { ContentSuspicion(it.content, it.runners.size, blocked = true) }
-        current.set(Suspicions(suspicions, blocked, assessment.toBlock, suspicionDigestOf(suspicions)))
+    /** Suspicions that last, but would be lost with the power of all replicas: a trial of nobody records them. */
+    private fun undurable(known: Suspicions): List<String> {
+        val tried = known.decisions.trials.map(ContentTrial::content).toSet()
+        val lasting = known.since.filterValues { environment.now() - it >= LASTING_MILLISECONDS }.keys
+        return (lasting - tried - known.decisions.blocked.map(BlockedContent::content).toSet()).toList()
+    }
+
+    private fun expiredOrCleared(decisions: ContentDecisions): List<BlockedContent> {
+        if (decisions == ContentDecisions()) return emptyList()
+        val expiry = environment.wallMilliseconds() - environment.blockMilliseconds
+        val cleared = evidence.cleared().toSet()
+        val blocked = decisions.blocked
+            .filter { it.blockedMilliseconds < expiry || (!it.byOperator && it.content in cleared) }
+        val tried = decisions.trials.filter { it.startMilliseconds < expiry || it.content in cleared }
+        return blocked + tried.map { BlockedContent(it.content) }
+    }
+
+    private fun assess(decisions: ContentDecisions, previous: Suspicions?) {
+        val blocked = decisions.blocked.map(BlockedContent::content).toSet()
+        evidence.forget(previous?.decisions?.blocked.orEmpty().map(BlockedContent::content).toSet() - blocked)
+        val tried = decisions.trials.map(ContentTrial::content).toSet()
+        val assessment = evidence.assess(blocked, environment.now(), tried)
+        val suspicions = assessment.suspicions.filter { it.content !in blocked } +
+            decisions.blocked.map { ContentSuspicion(it.content, it.runners.size, blocked = true) }
+        val since = suspicions.associate { it.content to (previous?.since?.get(it.content) ?: environment.now()) }
+        current.set(Suspicions(suspicions, since, decisions, assessment.toBlock, suspicionDigestOf(suspicions)))
         if (previous != null) logChanges(previous, suspicions)
     }
 
@@ -121,7 +144,9 @@
 
     private data class Suspicions(
         val suspicions: List<ContentSuspicion>,
-        val blocked: List<BlockedContent>,
+        /** When each content was suspected first, by content. */
+        val since: Map<String, Long>,
+        val decisions: ContentDecisions,
         val toBlock: List<BlockedContent>,
         val digest: Long,
     )
--- a/decision/control/src/main/kotlin/cassiaspindle/control/blocking/BlockedContentRegistry.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/blocking/BlockedContentRegistry.kt
@@ -26,6 +26,9 @@
     /** The blocked contents, the oldest one first. */
     fun all(): List<BlockedContent> = blocked.values.toList()
 
+    /** The newest trial of each content that was tried and neither cleared nor blocked. */
+    fun trials(): List<ContentTrial> = trials.values.filter { it.content !in blocked }
+
     /** Blocks [content]; one that is blocked already keeps its evidence, unless an operator blocks it. */
     fun block(content: BlockedContent): CommandOutcome {
         if (content.byOperator) blocked[content.content] = content else blocked.putIfAbsent(content.content, content)
@@ -33,7 +36,7 @@
         return CommandOutcome(ResultCode.OK.number)
     }
 
-    /** Blocks [content] no longer. */
+    /** Blocks [content] no longer, and forgets its trials. */
     fun unblock(content: String): CommandOutcome {
         blocked -= content
         trials -= content
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
@@ -1,9 +1,9 @@
 package cassiaspindle.control.group
 
+import cassiaspindle.control.blocking.ContentDecisions
 import cassiaspindle.control.session.EntrySessions
 import cassiaspindle.core.concurrency.Sharded
 import cassiaspindle.core.result.ResultCode
-import cassiaspindle.schema.BlockedContent
 import cassiaspindle.schema.CommandOutcome
 import cassiaspindle.schema.DocumentHistory
 import cassiaspindle.schema.OrderName
@@ -30,9 +30,13 @@
         shard.stateMachine.configurations.newest.takeIf { shard.replica.isCurrent }
     }
 
-    /** The contents that no request may hold, or null while this replica may be stale, like [currentConfiguration]. */
-    fun blockedContents(): List<BlockedContent>? = shards.withIndex(DOCUMENT_GROUP) { shard ->
-        shard.stateMachine.blockedContents.all().takeIf { shard.replica.isCurrent }
+    /**
+     * The blocked contents and the trials of suspected ones, or null while this replica may be stale, like
+     * [currentConfiguration].
+     */
+    fun contentDecisions(): ContentDecisions? = shards.withIndex(DOCUMENT_GROUP) { shard ->
+        val registry = shard.stateMachine.blockedContents
+        ContentDecisions(registry.all(), registry.trials()).takeIf { shard.replica.isCurrent }
     }
 
     /** Whether this replica is the leader of group 0, without a check of its lease. */
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/ContentGuard.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/ContentGuard.kt
@@ -13,8 +13,8 @@
 /** The same after several crashes, in milliseconds. */
 private const val LATER_CLEARING_MILLISECONDS = 30_000L
 
-/** Time for which a crash that only this entry VM has seen counts, until it is published, in milliseconds. */
-private const val LOCAL_SUSPICION_MILLISECONDS = 5_000L
+/** Time for which a suspicion counts that only this entry VM knows, until it is published, in milliseconds. */
+private const val LOCAL_SUSPICION_MILLISECONDS = 8_000L
 private const val MAXIMUM_LOCAL_SUSPICIONS = 256
 
 /** Whether a request with certain contents may be sent to a backend server. */
@@ -94,6 +94,7 @@
                 val known = previous[suspicion.content]?.takeIf { it.suspicion.crashes == suspicion.crashes }
                 suspicion.content to Published(suspicion, known?.sinceMilliseconds ?: nowMilliseconds)
             }
+            state.retain(previous.values.map { it.suspicion.content } - state.published.keys, nowMilliseconds)
             state.published.filterValues { !it.suspicion.blocked }.keys.filter(state.cleared::contains)
         }
 
@@ -123,6 +124,12 @@
         val local = mutableMapOf<String, Long>()
         val cleared = RecentContents()
 
+        /** Keeps [contents], which are no longer published, suspected: a restarted replica has to learn them anew. */
+        fun retain(contents: List<String>, nowMilliseconds: Long) {
+            local.values.removeIf { nowMilliseconds - it > LOCAL_SUSPICION_MILLISECONDS }
+            contents.filterNot(cleared::contains).forEach { local[it] = nowMilliseconds }
+        }
+
         fun suspicionOf(content: String, nowMilliseconds: Long): Suspicion? {
             val known = published[content]
             val since = local[content]?.takeIf { nowMilliseconds - it <= LOCAL_SUSPICION_MILLISECONDS }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/CrashEvidenceTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/CrashEvidenceTable.kt
@@ -64,14 +64,23 @@
     /** The contents that were cleared. */
     fun cleared(): List<String> = shard.withIndex(0) { it.cleared.all() }
 
-    /** Assesses the evidence; crashes under a part in [blocked] are explained by it. */
-    fun assess(blocked: Set<String>, nowMilliseconds: Long): CrashAssessment = shard.withIndex(0) { state ->
+    /**
+     * Assesses the evidence; crashes under a part in [blocked] are explained by it. A content in [tried] is suspected
+     * as long as it is not cleared, even if the evidence that led to its trial is lost.
+     */
+    fun assess(
+        blocked: Set<String>,
+        nowMilliseconds: Long,
+        tried: Set<String> = emptySet(),
+    ): CrashAssessment = shard.withIndex(0) { state ->
         state.removeExpired(nowMilliseconds)
         val unexplained = state.crashes.filterValues { crash -> crash.suspects.none { blocked.containsAny(it.shared) } }
         val sharedEvidence = evidenceOf(unexplained) { it.shared }
         val ownEvidence = evidenceOf(unexplained) { listOf(it.own) }.filterKeys { it !in blocked }
+        val suspicions = suspicionsOf(sharedEvidence, 1) + suspicionsOf(ownEvidence, SUSPECTED_OWN_CRASHES)
+        val others = tried.filterNot(state.cleared::contains) - suspicions.map(ContentSuspicion::content).toSet()
         CrashAssessment(
-            suspicionsOf(sharedEvidence, 1) + suspicionsOf(ownEvidence, SUSPECTED_OWN_CRASHES),
+            suspicions + others.sorted().map { ContentSuspicion(it, crashes = 1) },
             (causeAmong(sharedEvidence) ?: causeAmong(ownEvidence))?.let { listOf(it.toBlockedContent()) }.orEmpty(),
         )
     }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/crash/CrashEvidenceTableTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/crash/CrashEvidenceTableTest.kt
@@ -80,6 +80,13 @@
         assess(20_000).suspicions shouldBe listOf(ContentSuspicion("part", crashes = 1))
     }
 
+    @Test
+    fun `a content that was tried stays suspected without its evidence, until it is cleared`() {
+        table.assess(emptySet(), 0, tried = setOf("part")).suspicions shouldBe listOf(ContentSuspicion("part", 1))
+        table.clear(listOf("part"))
+        table.assess(emptySet(), 0, tried = setOf("part")).suspicions.shouldBeEmpty()
+    }
+
     @Test
     fun `the table stays small whatever is reported`() {
         repeat(2_000) { crash("r$it", it * 100L, request("request-$it", "part-$it")) }
