Let operators list, set and lift blocked contents

GET /blocked-contents on the metrics address of a VM with a control replica lists them with their evidence; PUT and DELETE of one content need the key of the system's processes.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.daemon.relay
 
+import cassiaspindle.control.blocking.ContentDecisions
 import cassiaspindle.control.group.ControlReplica
 import cassiaspindle.core.result.Failure
 import cassiaspindle.daemon.relay.control.ContentBlocker
@@ -52,10 +53,15 @@
     private val publishedVersion = AtomicLong()
     private val discoveryRound = AtomicInteger()
     private val statusLogger = ReplicaStatusLogger(environment.log)
+
+    /** What the local replica has decided about contents, or null if there is none or it may be stale. */
+    val contentDecisions: () -> ContentDecisions? =
+        { supervisor.replica?.driver?.controlReplica?.reads?.contentDecisions() }
+
     private val suspicionPublisher = SuspicionPublisher(
         SuspicionEnvironment(
             environment.log,
-            decisions = { supervisor.replica?.driver?.controlReplica?.reads?.contentDecisions() },
+            contentDecisions,
             settings.blockMilliseconds,
             environment.clock.wallMilliseconds,
             environment.clock.monotonicMilliseconds,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -2,6 +2,8 @@
 
 import cassiaspindle.core.concurrency.RandomSource
 import cassiaspindle.core.time.Clock
+import cassiaspindle.daemon.relay.control.BLOCKED_CONTENTS_PATH
+import cassiaspindle.daemon.relay.control.BlockedContentHandler
 import cassiaspindle.daemon.relay.control.ControlRequestHandler
 import cassiaspindle.daemon.relay.control.PlacementDependencies
 import cassiaspindle.daemon.relay.control.PlacementExecutor
@@ -160,6 +162,8 @@
     private val requestHandler = createRequestHandler()
     private val controlHandler =
         ControlRequestHandler(protocol.operators, replicaConnections, commandClient, fleetState, log)
+    private val blockedContentHandler =
+        BlockedContentHandler(settings.systemKey, commandClient, controlPlane.contentDecisions, log)
     private val discoveryHandler =
         DiscoveryHandler(protocol.callers, fleetState, settings.discoveryLifetimeMilliseconds)
     private val server: RelayServer by lazy { RelayServer.start(handlers(), selector, scope, bufferBudget) }
@@ -309,6 +313,7 @@
     }
 
     private suspend fun respondMetrics(call: RelayCall) {
+        if (call.head.target.startsWith(BLOCKED_CONTENTS_PATH)) return blockedContentHandler.handle(call)
         val contentType = listOf(Header("Content-Type", "text/plain"))
         call.respond(ResponseHead(STATUS_OK, reason = "OK", contentType), metrics.registry.scrape().encodeToByteArray())
     }
