Clear requests that were answered before, and bound what an entry VM suspects on its own

Cause: found while reading. A request that many callers repeat alike was suspected after two crashes beside it, and could not be cleared while it was refused. More than 256 vanished suspicions would have made the next crash fail its request. Two assessments could overlap. Change: an entry VM remembers the whole requests that it answered; the local suspicions have one bounded way in; one lock orders assessments. ContentGuardTest has a case for each of the first two.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/SuspicionPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/SuspicionPublisher.kt
@@ -15,6 +15,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 
 /** Time after which a suspicion is made durable, in milliseconds: most are cleared before. */
 private const val LASTING_MILLISECONDS = 1_500L
@@ -40,6 +42,9 @@
     private val evidence = CrashEvidenceTable()
     private val newlyCleared = ConcurrentLinkedQueue<String>()
     private val isTickPending = AtomicBoolean()
+
+    /** Held by the one thread that assesses the evidence; the shards' own locks are taken within it. */
+    private val assessment = ReentrantLock()
     private val current = AtomicReference<Suspicions?>(null)
 
     /** Adds [received] from an entry VM; passes what follows from crashes to [publish] at once. */
@@ -65,12 +70,12 @@
     }
 
     /** Assesses the evidence; returns the news for all followers, or null if nothing changed. */
-    fun tick(): FleetNews? {
+    fun tick(): FleetNews? = assessment.withLock {
         val previous = current.get()
         environment.decisions()?.let { assess(it, previous) }
         val changed = current.get().takeIf { it?.digest != previous?.digest }
         val cleared = generateSequence(newlyCleared::poll).toList()
-        return newsOf(changed, cleared).takeIf { changed != null || cleared.isNotEmpty() }
+        newsOf(changed, cleared).takeIf { changed != null || cleared.isNotEmpty() }
     }
 
     /** Adds to [news] for the entry VM of [presence] what it lacks. */
@@ -114,11 +119,11 @@
         val blocked = decisions.blocked.map(BlockedContent::content).toSet()
         evidence.forget(previous?.decisions?.blocked.orEmpty().map(BlockedContent::content).toSet() - blocked)
         val tried = decisions.trials.map(ContentTrial::content).toSet()
-        val assessment = evidence.assess(blocked, environment.now(), tried)
-        val suspicions = assessment.suspicions.filter { it.content !in blocked } +
+        val assessed = evidence.assess(blocked, environment.now(), tried)
+        val suspicions = assessed.suspicions.filter { it.content !in blocked } +
             decisions.blocked.map { ContentSuspicion(it.content, it.runners.size, blocked = true) }
         val since = suspicions.associate { it.content to (previous?.since?.get(it.content) ?: environment.now()) }
-        current.set(Suspicions(suspicions, since, decisions, assessment.toBlock, suspicionDigestOf(suspicions)))
+        current.set(Suspicions(suspicions, since, decisions, assessed.toBlock, suspicionDigestOf(suspicions)))
         if (previous != null) logChanges(previous, suspicions)
     }
 
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/ContentGuard.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/ContentGuard.kt
@@ -72,16 +72,14 @@
 
     /** Records a crash under [content]; its shared parts are suspected at once if they are not cleared. */
     fun recordCrash(content: RequestContent, nowMilliseconds: Long) = shard.withIndex(0) { state ->
-        state.local.values.removeIf { nowMilliseconds - it > LOCAL_SUSPICION_MILLISECONDS }
-        content.shared.filterNot(state.cleared::contains)
-            .take(MAXIMUM_LOCAL_SUSPICIONS - state.local.size)
-            .forEach { state.local.putIfAbsent(it, nowMilliseconds) }
+        state.suspectLocally(content.shared.filterNot(state.local::containsKey), nowMilliseconds)
     }
 
     /** Clears [content], with which a request was answered whole; returns what the control replicas must learn. */
     fun recordAnswer(content: RequestContent): List<String> = shard.withIndex(0) { state ->
         val newlyCleared = content.shared.filter { state.cleared.add(it) || it in state.published }
-        state.local.keys.removeAll(content.shared.toSet())
+        state.local.keys.removeAll(content.shared.toSet() + content.own)
+        state.answered.add(content.own)
         newlyCleared + listOf(content.own).filter(state.published::containsKey)
     }
 
@@ -94,8 +92,8 @@
                 val known = previous[suspicion.content]?.takeIf { it.suspicion.crashes == suspicion.crashes }
                 suspicion.content to Published(suspicion, known?.sinceMilliseconds ?: nowMilliseconds)
             }
-            state.retain(previous.values.map { it.suspicion.content } - state.published.keys, nowMilliseconds)
-            state.published.filterValues { !it.suspicion.blocked }.keys.filter(state.cleared::contains)
+            state.suspectLocally(previous.keys - state.published.keys, nowMilliseconds)
+            state.published.filterValues { !it.suspicion.blocked }.keys.filter(state::isHarmless)
         }
 
     /** Adds [contents], which other entry VMs have cleared. */
@@ -124,16 +122,26 @@
         val local = mutableMapOf<String, Long>()
         val cleared = RecentContents()
 
-        /** Keeps [contents], which are no longer published, suspected: a restarted replica has to learn them anew. */
-        fun retain(contents: List<String>, nowMilliseconds: Long) {
+        /** Whole requests that were answered. */
+        val answered = RecentContents()
+
+        fun isHarmless(content: String): Boolean = cleared.contains(content) || answered.contains(content)
+
+        /**
+         * Keeps [contents] suspected for a while: the control replicas do not know of them yet, or have to learn of
+         * them anew after a restart.
+         */
+        fun suspectLocally(contents: Collection<String>, nowMilliseconds: Long) {
             local.values.removeIf { nowMilliseconds - it > LOCAL_SUSPICION_MILLISECONDS }
-            contents.filterNot(cleared::contains).forEach { local[it] = nowMilliseconds }
+            contents.filterNot(::isHarmless)
+                .take(maxOf(0, MAXIMUM_LOCAL_SUSPICIONS - local.size))
+                .forEach { local[it] = nowMilliseconds }
         }
 
         fun suspicionOf(content: String, nowMilliseconds: Long): Suspicion? {
             val known = published[content]
             val since = local[content]?.takeIf { nowMilliseconds - it <= LOCAL_SUSPICION_MILLISECONDS }
-            val isCleared = cleared.contains(content)
+            val isCleared = isHarmless(content)
             return when {
                 known?.suspicion?.blocked == true || (known != null && !isCleared) ->
                     Suspicion(content, known.suspicion.crashes, known.suspicion.blocked, known.sinceMilliseconds)
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/crash/ContentGuardTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/crash/ContentGuardTest.kt
@@ -72,6 +72,21 @@
         guard.check(RequestContent("own", listOf("sound")), 40_000) shouldBe ContentCheck.Allowed
     }
 
+    @Test
+    fun `a request that was answered before is no suspect when others crash runners beside it`() {
+        guard.recordAnswer(RequestContent("often"))
+        guard.applySuspicions(listOf(ContentSuspicion("often", 2)), 0) shouldBe listOf("often")
+        guard.check(RequestContent("often"), 0) shouldBe ContentCheck.Allowed
+    }
+
+    @Test
+    fun `many suspicions that vanish at once leave room for none, and harm nothing`() {
+        guard.applySuspicions(List(1_000) { ContentSuspicion("part-$it", 1) }, 0)
+        guard.applySuspicions(emptyList(), 1)
+        guard.recordCrash(deadly, 2)
+        guard.check(deadly, 2) shouldBe ContentCheck.Allowed
+    }
+
     @Test
     fun `the digest differs until the suspicions are known`() {
         val suspicions = listOf(ContentSuspicion("part", 1))
