Take no chunked answer for whole that ends between two chunks, and probe a runner whose stream ends

What callers saw: a runner that ended between two chunks gave a 200 that looked complete, streamed or not. Cause: the decoder of the library takes the end of the connection for the last chunk. With it: a stream that breaks makes its entry VM probe the runner, which nothing did before; a probe counts a runner as lost if it refuses or is silent, and no longer if it answers badly.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/BackEndProbe.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/BackEndProbe.kt
@@ -46,7 +46,7 @@
 ) {
     private val shards = Sharded(SHARDS) { mutableMapOf<String, Probe>() }
 
-    /** Whether the backend server at [address] does not reply to a probe, or did not reply to one a moment ago. */
+    /** Whether the backend server at [address] is silent or refuses to be probed, or was a moment ago. */
     suspend fun isLost(address: String): Boolean = probeOf(address).await()
 
     private fun probeOf(address: String): Deferred<Boolean> = shards.withKey(address) { probes ->
@@ -56,7 +56,7 @@
 
     private fun startProbe(address: String): Deferred<Boolean> = scope.async {
         val request = protocol.writeReportRequest(address)
-        connectionPool.exchangeOnNewConnection(address, request, PROBE_TIMEOUT_MILLISECONDS) == null
+        !connectionPool.isReachable(address, request, PROBE_TIMEOUT_MILLISECONDS)
     }
 
     private class Probe(val startMilliseconds: Long, val isLost: Deferred<Boolean>)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
@@ -166,8 +166,7 @@
         val notRun = result.failure == AttemptFailure.NotRun || result.failure == AttemptFailure.NotSent
         mayHaveRun = mayHaveRun || !notRun
         if (result.failure == AttemptFailure.NotSent) attempts--
-        result.faultyAddress?.takeUnless { result.isPaused }
-            ?.let { dependencies.recordFault(it, lossEvidenceOf(result, choice.backEnd.address)) }
+        dependencies.recordFailure(result, choice.backEnd.address)
         val failureContext = context
         val step = if (crashGuard.mayHaveCrashed(result, choice)) {
             stepAfterCrash(isStreaming = streamWriter != null)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RequestRelay.kt
@@ -32,6 +32,20 @@
     /** Handles evidence that the backend server at an address is lost; must not block. */
     val onLossEvidence: (address: String, LossEvidence) -> Unit,
 ) {
+    /**
+     * Records the failure [result] of an attempt at [address]. A stream that breaks does not make requests avoid its
+     * runner, which is only probed: a crash is one of the causes.
+     */
+    fun recordFailure(result: AttemptResult.Failed, address: String) {
+        val evidence = lossEvidenceOf(result, address)
+        val faultyAddress = result.faultyAddress
+        when {
+            result.isPaused -> Unit
+            faultyAddress != null -> recordFault(faultyAddress, evidence)
+            result.cause == FailureCause.CONNECTION_BROKEN -> onLossEvidence(address, evidence)
+        }
+    }
+
     /** Makes requests avoid the backend server at [address] for a while, and reports [evidence] of its loss, if any. */
     fun recordFault(address: String, evidence: LossEvidence) {
         readiness.recordFailure(address, now())
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/request/AttemptDecisionTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/request/AttemptDecisionTest.kt
@@ -49,6 +49,14 @@
         stepAfterFailure(AttemptFailure.NotRun, last) { true } shouldBe NextStep.GiveUp(ResultCode.BACK_END_LOST)
     }
 
+    @Test
+    fun `the trial of a suspected content reaches one backend server only`() {
+        val trial = context(idempotentRoute, mayHaveRun = false).copy(isTrial = true)
+        stepAfterFailure(AttemptFailure.NotRun, trial) { true } shouldBe NextStep.GiveUp(ResultCode.OVERLOADED)
+        stepAfterFailure(AttemptFailure.NotSent, trial) { true } shouldBe NextStep.Repeat(lastEventId = null)
+        silenceTimeoutMilliseconds(trial) shouldBe Long.MAX_VALUE
+    }
+
     @Test
     fun `a request is not retried beyond its attempts, the budget and its deadline`() {
         val giveUp = NextStep.GiveUp(ResultCode.BACK_END_LOST)
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestBody.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestBody.kt
@@ -1,6 +1,5 @@
 package cassiaspindle.transport.relay
 
-import io.ktor.http.cio.decodeChunked
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.readAvailable
@@ -71,7 +70,7 @@
     private suspend fun readChunked(maximumBytes: Int, reservation: BufferBudget.Reservation): ByteArray? =
         coroutineScope {
             sendContinue()
-            val decoder = writer { decodeChunked(input, channel) }
+            val decoder = writer { decodeWholeChunked(input, channel) }
             val body = Buffer()
             val buffer = ByteArray(BUFFER_BYTES)
             var count = decoder.channel.readAvailable(buffer)
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -5,7 +5,6 @@
 import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.Response
-import io.ktor.http.cio.decodeChunked
 import io.ktor.http.cio.parseResponse
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
@@ -14,7 +13,6 @@
 import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writePacket
-import io.ktor.utils.io.writer
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancel
@@ -50,7 +48,7 @@
     private val output = socket.openWriteChannel(autoFlush = false)
     private val decoderScope = CoroutineScope(Dispatchers.Default)
     private var framing: BodyFraming = BodyFraming.Length(0)
-    private var decodedBody: ByteReadChannel? = null
+    private var decodedBody: DecodedBody? = null
     private var bodyBytesRead = 0L
     private var exchangeCount = 0
     private val buffer = ByteArray(BUFFER_BYTES)
@@ -155,9 +153,13 @@
     }
 
     private suspend fun readChunked(): ByteArray? {
-        val channel = decodedBody
-            ?: decoderScope.writer { decodeChunked(input, channel) }.channel.also { decodedBody = it }
-        return readSome(channel).also { if (it == null) isReusable = true }
+        val body = decodedBody ?: DecodedBody(decoderScope, input).also { decodedBody = it }
+        val bytes = readSome(body.channel)
+        if (bytes == null) {
+            body.requireWhole()
+            isReusable = true
+        }
+        return bytes
     }
 
     private suspend fun readSome(channel: ByteReadChannel): ByteArray? {
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnectionPool.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnectionPool.kt
@@ -72,17 +72,30 @@
         request: BufferedRequest,
         timeoutMilliseconds: Long,
     ): BufferedResponse? =
+        withTimeoutOrNull(timeoutMilliseconds) { runCatchingProtocolErrors { exchange(open(address), request) } }
+
+    /**
+     * Whether [address] accepts a connection and does anything but stay silent for [timeoutMilliseconds] after
+     * [request]: one that breaks the protocol is there.
+     */
+    suspend fun isReachable(address: String, request: BufferedRequest, timeoutMilliseconds: Long): Boolean =
         withTimeoutOrNull(timeoutMilliseconds) {
-            try {
-                exchange(open(address), request)
-            } catch (problem: IOException) {
-                Logger.debug { "event=exchange_failed address=$address reason=${problem.javaClass.simpleName}" }
-                null
-            } catch (problem: ParserException) {
-                Logger.debug { "event=exchange_failed address=$address reason=${problem.javaClass.simpleName}" }
-                null
-            }
-        }
+            val connection = openOrNull(address)
+            connection?.let { runCatchingProtocolErrors { exchange(it, request) } }
+            connection != null
+        } ?: false
+
+    private suspend fun openOrNull(address: String): RunnerConnection? = runCatchingProtocolErrors { open(address) }
+
+    private suspend fun <Value> runCatchingProtocolErrors(action: suspend () -> Value): Value? = try {
+        action()
+    } catch (problem: IOException) {
+        Logger.debug { "event=exchange_failed reason=${problem.javaClass.simpleName}" }
+        null
+    } catch (problem: ParserException) {
+        Logger.debug { "event=exchange_failed reason=${problem.javaClass.simpleName}" }
+        null
+    }
 
     private suspend fun exchange(connection: RunnerConnection, request: BufferedRequest): BufferedResponse = try {
         connection.send(request)
