Log the repeat of a crash report no more, and add its suspects once

Cause: entry VMs repeat their reports for a minute, and a replica logged each; a suspect whose parts were cleared meanwhile was added again. Change: the evidence table tells what is new. CrashEvidenceTableTest has a case.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/SuspicionPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/SuspicionPublisher.kt
@@ -49,8 +49,7 @@
 
     /** Adds [received] from an entry VM; passes what follows from crashes to [publish] at once. */
     fun receive(received: CrashEvidence, publish: (FleetNews) -> Unit) {
-        received.crashes.forEach { report ->
-            evidence.record(report, received.entry, environment.now())
+        received.crashes.filter { evidence.record(it, received.entry, environment.now()) }.forEach { report ->
             environment.log.write(
                 "crash_evidence_received",
                 "entry" to received.entry,
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/CrashEvidenceTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/CrashEvidenceTable.kt
@@ -40,15 +40,19 @@
 class CrashEvidenceTable {
     private val shard = Sharded(1) { State() }
 
-    /** Adds a report of [entry]. Reports of several entry VMs about one crash add up their suspects. */
-    fun record(report: CrashReport, entry: String, nowMilliseconds: Long) = shard.withIndex(0) { state ->
+    /**
+     * Adds a report of [entry]; returns whether it is the first one of this crash from there. Reports of several entry
+     * VMs about one crash add up their suspects.
+     */
+    fun record(report: CrashReport, entry: String, nowMilliseconds: Long): Boolean = shard.withIndex(0) { state ->
         val runner = CrashedRunner(report.runner, report.bornMilliseconds)
         val crash = state.crashes.getOrPut(runner) { Crash(nowMilliseconds) }
-        crash.entries += entry
         report.suspects.take(MAXIMUM_SUSPECTS - crash.suspects.size)
+            .map { suspect -> suspect.copy(shared = suspect.shared.filterNot(state.cleared::contains)) }
             .filterNot(crash.suspects::contains)
-            .forEach { crash.suspects += it.copy(shared = it.shared.filterNot(state.cleared::contains)) }
+            .forEach { crash.suspects += it }
         state.removeExpired(nowMilliseconds)
+        crash.entries.add(entry)
     }
 
     /** Clears [contents], which were part of requests that were answered whole; returns those that were not cleared. */
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/crash/CrashEvidenceTableTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/crash/CrashEvidenceTableTest.kt
@@ -51,6 +51,12 @@
         assess(20_000).suspicions shouldBe listOf(ContentSuspicion("part", crashes = 1))
     }
 
+    @Test
+    fun `the repeat of a report is not new`() {
+        val report = CrashReport("a", 1, listOf(request("one", "part")))
+        listOf("entry", "entry", "other").map { table.record(report, it, 0) } shouldBe listOf(true, false, true)
+    }
+
     @Test
     fun `a request that is repeated is blocked itself, not the part that it shares`() {
         repeat(3) { crash("r$it", it * 5_000L, request("repeated", "part")) }
