Clear again what came back as suspected, and repeat no report of contents that are cleared

Cause: after all replicas had restarted, entry VMs repeated reports whose contents had been cleared since, and a clearing was sent once only: one that was lost was never sent again. ContentGuardTest has a case.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -152,7 +152,7 @@
     )
     private val commandClient = CommandClient(replicaConnections, clock.monotonicMilliseconds)
     private val probe = BackEndProbe(connectionPool, protocol.backEnds, scope, clock.monotonicMilliseconds)
-    private val evidenceSender = CrashEvidenceSender(settings.name, replicaConnections, scope)
+    private val evidenceSender = CrashEvidenceSender(settings.name, replicaConnections, scope, fleetState.contentGuard)
     private val crashReporter = CrashReporter(
         CrashReporterDependencies(probe, fleetState, evidenceSender, log, scope, clock.monotonicMilliseconds),
     )
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/CrashEvidenceSender.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/CrashEvidenceSender.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.daemon.relay.request
 
 import cassiaspindle.daemon.relay.fleet.ReplicaConnections
+import cassiaspindle.relay.crash.ContentGuard
 import cassiaspindle.schema.CrashEvidence
 import cassiaspindle.schema.CrashReport
 import cassiaspindle.schema.PeerFrame
@@ -21,6 +22,9 @@
 /** Each so many flushes, what was reported lately is sent again to replicas that have restarted since. */
 private const val FLUSHES_PER_REPEAT = 25L
 
+/** Each so many flushes, suspicions that this entry VM can clear are cleared once more. */
+private const val FLUSHES_PER_CLEARING = 5L
+
 /** Number of such repeats of one report. */
 private const val REPEATS = 12
 private const val MAXIMUM_REPEATED_REPORTS = 32
@@ -30,6 +34,7 @@
     private val entry: String,
     private val replicaConnections: ReplicaConnections,
     private val scope: CoroutineScope,
+    private val guard: ContentGuard,
 ) {
     private val crashes = ConcurrentLinkedQueue<CrashReport>()
     private val cleared = ConcurrentLinkedQueue<String>()
@@ -63,6 +68,7 @@
     /** Sends what was collected since the last flush, and once more what that one sent: a frame may be lost. */
     fun flush() {
         val isRepeat = flushes.incrementAndGet() % FLUSHES_PER_REPEAT == 0L
+        if (flushes.get() % FLUSHES_PER_CLEARING == 0L) cleared += guard.clearable()
         val reports = generateSequence(crashes::poll).toList() + if (isRepeat) takeRepeats() else emptyList()
         val contents = generateSequence(cleared::poll).take(MAXIMUM_CLEARED_PER_FRAME).toList().distinct()
         val evidence = CrashEvidence(entry, reports, contents).takeIf { reports.isNotEmpty() || contents.isNotEmpty() }
@@ -73,7 +79,7 @@
     }
 
     private fun takeRepeats(): List<CrashReport> {
-        val due = repeated.map { it.report }
+        val due = repeated.mapNotNull { guard.withoutHarmless(it.report) }
         repeated.removeIf { ++it.count >= REPEATS }
         return due
     }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/ContentGuard.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/crash/ContentGuard.kt
@@ -2,6 +2,7 @@
 
 import cassiaspindle.core.concurrency.Sharded
 import cassiaspindle.schema.ContentSuspicion
+import cassiaspindle.schema.CrashReport
 import cassiaspindle.schema.RequestContent
 
 /**
@@ -93,9 +94,20 @@
                 suspicion.content to Published(suspicion, known?.sinceMilliseconds ?: nowMilliseconds)
             }
             state.suspectLocally(previous.keys - state.published.keys, nowMilliseconds)
-            state.published.filterValues { !it.suspicion.blocked }.keys.filter(state::isHarmless)
+            state.clearable()
         }
 
+    /** The published suspicions that this entry VM can clear; a replica may have lost what it was told before. */
+    fun clearable(): List<String> = shard.withIndex(0) { it.clearable() }
+
+    /** The [report] without contents that turned out to be harmless, or null if nothing is left of it. */
+    fun withoutHarmless(report: CrashReport): CrashReport? = shard.withIndex(0) { state ->
+        val suspects = report.suspects
+            .map { suspect -> suspect.copy(shared = suspect.shared.filterNot(state::isHarmless)) }
+            .filterNot { it.shared.isEmpty() && state.isHarmless(it.own) }
+        report.copy(suspects = suspects).takeIf { suspects.isNotEmpty() }
+    }
+
     /** Adds [contents], which other entry VMs have cleared. */
     fun applyCleared(contents: List<String>) = shard.withIndex(0) { state ->
         contents.forEach {
@@ -125,6 +137,9 @@
         /** Whole requests that were answered. */
         val answered = RecentContents()
 
+        fun clearable(): List<String> =
+            published.filterValues { !it.suspicion.blocked }.keys.filter(::isHarmless)
+
         fun isHarmless(content: String): Boolean = cleared.contains(content) || answered.contains(content)
 
         /**
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/crash/ContentGuardTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/crash/ContentGuardTest.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.relay.crash
 
 import cassiaspindle.schema.ContentSuspicion
+import cassiaspindle.schema.CrashReport
 import cassiaspindle.schema.RequestContent
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
@@ -87,6 +88,17 @@
         guard.check(deadly, 2) shouldBe ContentCheck.Allowed
     }
 
+    @Test
+    fun `a repeated report leaves out what was cleared since, and suspicions that came back can be cleared again`() {
+        val report = CrashReport("r", 1, listOf(deadly, RequestContent("sound", listOf("common"))))
+        guard.recordAnswer(RequestContent("sound"))
+        guard.withoutHarmless(report)?.suspects shouldBe listOf(RequestContent("own", listOf("part")))
+        guard.recordAnswer(deadly)
+        guard.withoutHarmless(report) shouldBe null
+        guard.applySuspicions(listOf(ContentSuspicion("part", 1), ContentSuspicion("new", 1)), 0)
+        repeat(2) { guard.clearable() shouldBe listOf("part") }
+    }
+
     @Test
     fun `the digest differs until the suspicions are known`() {
         val suspicions = listOf(ContentSuspicion("part", 1))
