Wait through a planned stop on a latch that a second signal opens

Cause: the thread that stops slept for the time in which requests are still accepted, and nothing could cut it short. Change: PlannedStop waits on a latch with a time limit; a second SIGTERM opens it. The exit status stays 143.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -25,6 +25,7 @@
 import cassiaspindle.daemon.relay.request.CrashReporter
 import cassiaspindle.daemon.relay.request.CrashReporterDependencies
 import cassiaspindle.daemon.relay.request.DiscoveryHandler
+import cassiaspindle.daemon.relay.request.PlannedStop
 import cassiaspindle.daemon.relay.request.RelayDependencies
 import cassiaspindle.daemon.relay.request.RelayRequestHandler
 import cassiaspindle.daemon.relay.request.RelayRequestHandlerDependencies
@@ -160,6 +161,7 @@
         BackEndLossDependencies(probe, fleetState, replicaConnections, log, scope, crashReporter::recordLoss),
     )
     private val requestHandler = createRequestHandler()
+    private val plannedStop = PlannedStop(requestHandler, log)
     private val controlHandler =
         ControlRequestHandler(protocol.operators, replicaConnections, commandClient, fleetState, log)
     private val blockedContentHandler =
@@ -181,7 +183,7 @@
         requestHandler.drain()
         log.write("stopping", "in_flight" to requestHandler.inFlight.count)
         presencePublisher.publish(replicaConnections)
-        finishRequests(DrainSchedule(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds))
+        plannedStop.finishRequests(DrainSchedule(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds))
         executorMonitor.close()
         timer.shutdownNow()
         server.close()
@@ -192,13 +194,8 @@
         log.close(LOG_CLOSE_TIMEOUT_MILLISECONDS)
     }
 
-    /** Serves callers that still hold this address, then refuses new requests until those in flight have finished. */
-    private fun finishRequests(schedule: DrainSchedule) {
-        Thread.sleep(schedule.acceptForMilliseconds)
-        requestHandler.refuseNewRequests()
-        log.write("refusing_new_requests", "in_flight" to requestHandler.inFlight.count)
-        requestHandler.inFlight.awaitIdle(schedule.closeAfterMilliseconds - schedule.acceptForMilliseconds)
-    }
+    /** Ends the time of a stop in which new requests are still accepted. */
+    fun stopAccepting() = plannedStop.stopAccepting()
 
     private fun startServices() {
         Gauge.builder("cassiaspindle.requests.in.flight", requestHandler) { it.inFlight.count.toDouble() }
