Remove lost voters by the margin of the group, and keep what its lost disks need

Cause: MembershipManager went by odd and even. Two learners that were ready at once made five voters; a lost voter of an odd group was removed only if a learner was ready, and none was left. Three of five stayed, which is a bare quorum.

Change: nextMembership is a pure function of voters, who is absent, who is replaced, ready learners, tolerated losses and the maximum. No step lowers the margin (voters that answer less the quorum); a step is made only if it or the next one raises it. A learner is promoted before the voter that it replaces is removed. Without a replacement a group shrinks to twice the tolerated losses and one, no further, since absent voters may only be cut off. The old identity of a wiped disk is removed as soon as the new one answers. The number of tolerated losses comes from the settings.

Tests: LostVoterTest, "a group of five that was built from two replacements", failed before (five voters instead of three).

--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -161,6 +161,7 @@
             entryLeaseMilliseconds = settings.entryLeaseMilliseconds,
             orderRetentionMilliseconds = settings.orderRetentionMilliseconds,
             snapshotEveryEntries = SNAPSHOT_EVERY_ENTRIES,
+            toleratedLosses = (replicaNames.size - 1) / 2,
         )
         driver.attach(ControlReplica(replicaSettings, initialStates, environment.random, driver.now(), logWriter::add))
         logWriter.start()
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/LocalReplica.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/LocalReplica.kt
@@ -54,7 +54,7 @@
 
 /** The control replica of a process that has a data folder. */
 class LocalReplica private constructor(
-    settings: RelaySettings,
+    private val settings: RelaySettings,
     private val environment: ReplicaEnvironment,
     private val dataFolder: DataFolder,
     private val openedLog: OpenedLog,
@@ -108,6 +108,7 @@
             orderRetentionMilliseconds = ELECTION_TIMEOUT_MILLISECONDS,
             snapshotEveryEntries = SNAPSHOT_EVERY_ENTRIES,
             maximumVoters = MAXIMUM_VOTERS,
+            toleratedLosses = settings.toleratedLosses,
         )
         val persistentStates = openedLog.replayGroups(initialMembership, groups = 1)
         driver.attach(
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReplica.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReplica.kt
@@ -27,9 +27,12 @@
     val snapshotEveryEntries: Int,
     /** Maximum number of voters in a group; further replicas stay learners. */
     val maximumVoters: Int = MAXIMUM_VOTERS,
+    /** Number of replicas that may lose their disks at the same time. */
+    val toleratedLosses: Int = MINIMUM_TOLERATED_LOSSES,
 )
 
 private const val MAXIMUM_VOTERS = 7
+private const val MINIMUM_TOLERATED_LOSSES = 1
 
 /** The group that holds the service documents; the groups after it hold orders. */
 const val DOCUMENT_GROUP = 0
@@ -55,6 +58,7 @@
             electionTimeoutMilliseconds = settings.electionTimeoutMilliseconds,
             snapshotEveryEntries = settings.snapshotEveryEntries,
             maximumVoters = settings.maximumVoters,
+            toleratedLosses = settings.toleratedLosses,
         )
         val replica = GroupReplica(
             replicationSettings,
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipManager.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipManager.kt
@@ -8,10 +8,10 @@
 import cassiaspindle.schema.ReplicationMessage
 
 /**
- * Changes the membership of the group: adds learners, promotes them to voters and removes lost voters.
+ * Changes the membership of the group: adds learners, and proposes what [nextMembership] decides.
  *
- * A replica that lost its data folder joins as a learner with a new identity. After it has caught up, its old identity
- * is removed from the voters and then the new one becomes a voter; each change is committed before the next.
+ * A replica that lost its data folder joins as a learner with a new identity. Once it answers, its old identity is
+ * removed from the voters; once it has caught up, it becomes a voter. Each change is committed before the next.
  */
 internal class MembershipManager(private val state: ReplicaState, private val leadership: Leadership) {
     /** Whether a change may be proposed: one at a time, and none before an entry of this term is committed. */
@@ -48,44 +48,32 @@
     /** Proposes the next change if one is due: the removal of a voter or the promotion of a learner. */
     fun proposeNextChange(nowMilliseconds: Long, output: OutputCollector) {
         if (!canChange) return
-        val ready = state.membership.learners.filter(leadership.progress::isCaughtUp)
-        nextMembership(ready, nowMilliseconds)?.let { proposeMembership(it, nowMilliseconds, output) }
+        nextMembership(viewAt(nowMilliseconds))?.let { proposeMembership(it, nowMilliseconds, output) }
     }
 
-    /**
-     * The membership after the next change, or null if no change is due; [ready] are the learners that have caught up.
-     *
-     * The old identity of a ready learner is removed before the learner is promoted. An even number of voters
-     * tolerates no more failures than the odd number below it. So a group with an even number removes a lost voter
-     * even without a replacement, and one with an odd number promotes learners only in pairs.
-     */
-    private fun nextMembership(ready: List<Replica>, nowMilliseconds: Long): GroupMembership? {
-        val voters = state.membership.voters
-        val isEven = voters.size % 2 == 0
-        val replaced = voters.firstOrNull { voter -> ready.any { it.name == voter.name } }
-        val lost = lostVoter(nowMilliseconds).takeIf { ready.isNotEmpty() || isEven }
-        val removed = replaced ?: lost
-        val canPromote = voters.size < state.settings.maximumVoters && ready.size >= if (isEven) 1 else 2
-        return when {
-            removed != null -> state.membership.copy(voters = voters - removed)
-            canPromote -> GroupMembership(voters + ready.first(), state.membership.learners - ready.first())
-            else -> null
-        }
+    private fun viewAt(nowMilliseconds: Long): MembershipView {
+        val (voters, learners) = state.membership
+        val answering = learners.filter { !isSilent(it, nowMilliseconds, state.settings.electionTimeoutMilliseconds) }
+        val replacedNames = answering.map(Replica::name)
+        return MembershipView(
+            membership = state.membership,
+            replaced = voters.filter { it.name in replacedNames }.toSet(),
+            absent = absentVoters(nowMilliseconds),
+            ready = answering.filter(leadership.progress::isCaughtUp),
+            toleratedLosses = state.settings.toleratedLosses,
+            maximumVoters = state.settings.maximumVoters,
+        )
     }
 
-    /** A voter that was silent for the loss timeout, or null; a leader removes none before it has led that long. */
-    private fun lostVoter(nowMilliseconds: Long): Replica? {
-        val since = nowMilliseconds - state.settings.voterLossTimeoutMilliseconds
-        val silent = state.membership.voters.filter { leadership.progress.isSilent(it, since) }
-        val removable = leadership.leaderSinceMilliseconds < since &&
-            state.membership.voters.size >= MINIMUM_VOTERS_FOR_REMOVAL
-        return silent.firstOrNull().takeIf { removable }
+    /** The voters that were silent for the loss timeout; a leader counts none before it has led that long. */
+    private fun absentVoters(nowMilliseconds: Long): Set<Replica> {
+        val timeout = state.settings.voterLossTimeoutMilliseconds
+        if (leadership.leaderSinceMilliseconds >= nowMilliseconds - timeout) return emptySet()
+        return state.membership.voters.filter { isSilent(it, nowMilliseconds, timeout) }.toSet()
     }
 
-    private companion object {
-        /** Lost voters are removed from groups of at least this size; in a smaller one, the quorum would be at risk. */
-        const val MINIMUM_VOTERS_FOR_REMOVAL = 3
-    }
+    private fun isSilent(replica: Replica, nowMilliseconds: Long, timeoutMilliseconds: Long): Boolean =
+        leadership.progress.isSilent(replica, nowMilliseconds - timeoutMilliseconds)
 
     private fun proposeMembership(membership: GroupMembership, nowMilliseconds: Long, output: OutputCollector) {
         val command = ControlCommand(ControlCommandKind.CHANGE_MEMBERSHIP, membership = membership)
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
@@ -6,6 +6,7 @@
 private const val DEFAULT_SNAPSHOT_EVERY_ENTRIES = 2_000
 private const val DEFAULT_CLOCK_DRIFT_PER_MILLE = 20L
 private const val DEFAULT_MAXIMUM_VOTERS = 7
+private const val DEFAULT_TOLERATED_LOSSES = 1
 private const val DEFAULT_VOTER_LOSS_TIMEOUT_MILLISECONDS = 3_000L
 private const val HEARTBEATS_PER_ELECTION_TIMEOUT = 3L
 private const val RESTART_ELECTIONS_PER_ELECTION_TIMEOUT = 4L
@@ -23,8 +24,10 @@
     val snapshotEveryEntries: Int = DEFAULT_SNAPSHOT_EVERY_ENTRIES,
     /** Maximum number of voters; further replicas stay learners. */
     val maximumVoters: Int = DEFAULT_MAXIMUM_VOTERS,
-    /** Time without an answer after which a voter counts as lost and a learner may replace it. */
+    /** Time without an answer after which a voter counts as absent and a learner may replace it. */
     val voterLossTimeoutMilliseconds: Long = DEFAULT_VOTER_LOSS_TIMEOUT_MILLISECONDS,
+    /** Number of disks that may be lost at the same time; the group does not shrink below twice that and one. */
+    val toleratedLosses: Int = DEFAULT_TOLERATED_LOSSES,
 ) {
     /** Interval between two rounds of appends of the leader. */
     val heartbeatMilliseconds: Long get() = electionTimeoutMilliseconds / HEARTBEATS_PER_ELECTION_TIMEOUT
--- a/decision/replication/src/test/kotlin/cassiaspindle/replication/LostVoterTest.kt
+++ b/decision/replication/src/test/kotlin/cassiaspindle/replication/LostVoterTest.kt
@@ -61,6 +61,18 @@
         replica.status().membership?.voters shouldBe listOf(self, second, third)
     }
 
+    /** Guards against a group that keeps two voters that are gone for good and ends with the next lost disk. */
+    @Test
+    fun `a group of five that was built from two replacements removes both lost voters`() {
+        val replica = leader(maximumVoters = 5)
+        join(replica)
+        join(replica, fifth)
+        advanceTime(replica, from = 1_100, until = 2_000, answering = listOf(second, third, joining, fifth))
+        replica.status().membership?.voters shouldBe listOf(self, second, third, joining, fifth)
+        advanceTime(replica, from = 2_100, until = 6_000, answering = listOf(joining, fifth))
+        replica.status().membership?.voters shouldBe listOf(self, joining, fifth)
+    }
+
     @Test
     fun `a group of three keeps a lost voter that has no replacement`() {
         val replica = leader(maximumVoters = 5)
--- a/history/src/main/kotlin/cassiaspindle/history/control/SimulatedReplica.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/control/SimulatedReplica.kt
@@ -48,6 +48,7 @@
             entryLeaseMilliseconds = SimulationSettings.ENTRY_LEASE_MILLISECONDS,
             orderRetentionMilliseconds = SimulationSettings.RETENTION_MILLISECONDS,
             snapshotEveryEntries = SimulationSettings.SNAPSHOT_EVERY_ENTRIES,
+            toleratedLosses = (replicaNames.size - 1) / 2,
         )
         val groupStates = disk.recoverGroups(SimulationSettings.GROUPS)
         val startMilliseconds = faults.startTime(now(trueMilliseconds))
