Hand the lead and the vote of a replica over before its process stops

Cause: a replica that stopped left no word. It stayed a voter until it had been silent for 3 s (and an election longer, if it led), while its successor was a learner that had long caught up. In that time the group had three voters, one of them gone, and bore no loss.

Change: each message of a replica says whether its process stops. The leader counts such a voter as absent at once: a ready learner is promoted, then the voter removed, which takes two rounds. A leader that stops steps down first and reports that its lease has ended, so that an election starts at once. The process waits for this up to the last sixth of the grace time, and not at all if no learner could take over. A removed replica gets the append that removes it. An older process can't read the new kind of message HAND_OVER.

Tests: PlannedStopTest (without the call of prepareStop its first two cases fail).

--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlReplicaDriver.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlReplicaDriver.kt
@@ -45,6 +45,11 @@
         controlReplica?.let { carryOut(it.tick(now())) }
     }
 
+    /** Prepares the replica for the planned stop of this process. */
+    fun prepareStop() {
+        controlReplica?.let { carryOut(it.prepareStop(now())) }
+    }
+
     /** Handles a message from a peer. */
     fun receive(message: ReplicationMessage) {
         controlReplica?.let { carryOut(it.receive(message, now())) }
@@ -74,24 +79,26 @@
     private fun carryOutEffect(effect: ControlEffect) = when (effect) {
         is ControlEffect.Send -> send(effect.message)
         is ControlEffect.Answer -> pendingCommands.complete(effect)
-        is ControlEffect.Publish -> publish(effect.document)
+        is ControlEffect.Publish -> {
+            Logger.info {
+                "event=document_accepted service=${effect.document.document.service} " +
+                    "version=${effect.document.document.version} sequence=${effect.document.sequence}"
+            }
+            senders.toEntries(newsOf(effect.document))
+        }
     }
 
     private fun send(message: ReplicationMessage) =
         senders.toReplica(message.to.name, PeerFrame(PeerFrameKind.REPLICATION, replication = message))
-
-    /** Sends [document] to the connected entry VMs; without a lease duration, it renews no lease. */
-    private fun publish(document: StoredDocument) {
-        Logger.info {
-            "event=document_accepted service=${document.document.service} version=${document.document.version} " +
-                "sequence=${document.sequence}"
-        }
-        val news = EntryNews(
-            sentMilliseconds = 0,
-            leaseMilliseconds = 0,
-            documentSequence = document.sequence,
-            documents = listOf(document),
-        )
-        senders.toEntries(PeerFrame(PeerFrameKind.NEWS, news = news))
-    }
 }
+
+/** News of [document] for the connected entry VMs; without a lease duration, it renews no lease. */
+private fun newsOf(document: StoredDocument) = PeerFrame(
+    PeerFrameKind.NEWS,
+    news = EntryNews(
+        sentMilliseconds = 0,
+        leaseMilliseconds = 0,
+        documentSequence = document.sequence,
+        documents = listOf(document),
+    ),
+)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -54,6 +54,9 @@
     private val discoveryRound = AtomicInteger()
     private val statusLogger = ReplicaStatusLogger(environment.log)
 
+    /** Hands the tasks of the local replica over before a planned stop. */
+    val handOver = ReplicaHandOver(environment.log) { supervisor.replica?.driver }
+
     /** What the local replica has decided about contents, or null if there is none or it may be stale. */
     val contentDecisions: () -> ContentDecisions? =
         { supervisor.replica?.driver?.controlReplica?.reads?.contentDecisions() }
@@ -190,6 +193,7 @@
     }
 
     private fun onReplicaProcessed(replica: ControlReplica) {
+        handOver.recordProcessed(replica)
         statusLogger.logIfChanged(replica.documentGroupStatus())
         val configuration = replica.reads.currentConfiguration() ?: return
         if (publishedVersion.getAndAccumulate(configuration.version, ::maxOf) < configuration.version) {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -183,7 +183,11 @@
         requestHandler.drain()
         log.write("stopping", "in_flight" to requestHandler.inFlight.count)
         presencePublisher.publish(replicaConnections)
-        plannedStop.finishRequests(DrainSchedule(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds))
+        controlPlane.handOver.start()
+        val schedule = DrainSchedule(settings.graceMilliseconds, settings.discoveryLifetimeMilliseconds)
+        val closeMilliseconds = clock.monotonicMilliseconds() + schedule.closeAfterMilliseconds
+        plannedStop.finishRequests(schedule)
+        controlPlane.handOver.await(maxOf(0, closeMilliseconds - clock.monotonicMilliseconds()))
         executorMonitor.close()
         timer.shutdownNow()
         server.close()
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReplica.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReplica.kt
@@ -4,9 +4,11 @@
 import cassiaspindle.core.concurrency.RandomSource
 import cassiaspindle.core.concurrency.Sharded
 import cassiaspindle.replication.GroupReplica
+import cassiaspindle.replication.MembershipRule
 import cassiaspindle.replication.PersistentGroupState
 import cassiaspindle.replication.ReplicationSettings
 import cassiaspindle.replication.SyncPoint
+import cassiaspindle.replication.nextMembership
 import cassiaspindle.schema.ControlCommand
 import cassiaspindle.schema.ControlCommandKind
 import cassiaspindle.schema.ControlStatus
@@ -29,10 +31,14 @@
     val maximumVoters: Int = MAXIMUM_VOTERS,
     /** Number of replicas that may lose their disks at the same time. */
     val toleratedLosses: Int = MINIMUM_TOLERATED_LOSSES,
+    /** Time without an answer after which a voter counts as absent. */
+    val voterLossTimeoutMilliseconds: Long = VOTER_LOSS_TIMEOUT_MILLISECONDS,
+    val membershipRule: MembershipRule = ::nextMembership,
 )
 
 private const val MAXIMUM_VOTERS = 7
 private const val MINIMUM_TOLERATED_LOSSES = 1
+private const val VOTER_LOSS_TIMEOUT_MILLISECONDS = 3_000L
 
 /** The group that holds the service documents; the groups after it hold orders. */
 const val DOCUMENT_GROUP = 0
@@ -59,6 +65,8 @@
             snapshotEveryEntries = settings.snapshotEveryEntries,
             maximumVoters = settings.maximumVoters,
             toleratedLosses = settings.toleratedLosses,
+            voterLossTimeoutMilliseconds = settings.voterLossTimeoutMilliseconds,
+            membershipRule = settings.membershipRule,
         )
         val replica = GroupReplica(
             replicationSettings,
@@ -92,6 +100,13 @@
         joinRequests + effects
     }.flatten()
 
+    /** Prepares all groups for the planned stop of this process; see [GroupReplica.prepareStop]. */
+    fun prepareStop(nowMilliseconds: Long): List<ControlEffect> =
+        shards.mapEach { it.effectsOf(it.replica.prepareStop(nowMilliseconds), nowMilliseconds) }.flatten()
+
+    /** Whether no group needs the vote of this replica any more, or has no learner that could take it over. */
+    val mayStop: Boolean get() = shards.mapEach { it.replica.mayStop }.all { it }
+
     /** Handles the completed sync of the log write that carried [syncPoint]. */
     fun persisted(group: Int, syncPoint: SyncPoint, nowMilliseconds: Long): List<ControlEffect> =
         shards.withIndex(group) { it.effectsOf(it.replica.persisted(syncPoint, nowMilliseconds), nowMilliseconds) }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/GroupReplica.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/GroupReplica.kt
@@ -5,7 +5,6 @@
 import cassiaspindle.schema.ControlCommandKind
 import cassiaspindle.schema.GroupStatus
 import cassiaspindle.schema.Replica
-import cassiaspindle.schema.ReplicationKind
 import cassiaspindle.schema.ReplicationMessage
 
 /**
@@ -25,8 +24,11 @@
     private val applier = CommitApplier(state)
     private val leadership = Leadership(state, applier)
     private val election = Election(state, leadership)
+    private val handOver = HandOver(state, leadership)
     private val appendReceiver = AppendReceiver(state, leadership, applier)
     private val membershipManager = MembershipManager(state, leadership)
+    private val dispatcher =
+        MessageDispatcher(state, leadership, MessageReceivers(election, handOver, appendReceiver, membershipManager))
 
     /** The current leader, or null if unknown. */
     val leader: Replica? get() = state.leader
@@ -45,13 +47,13 @@
 
     /** Handles a message from a peer; drops one that is addressed to another identity of this replica. */
     fun receive(message: ReplicationMessage, nowMilliseconds: Long): ReplicationOutput = collectOutput { output ->
-        val isAddressed = message.to == state.self || message.kind == ReplicationKind.JOIN
-        if (isAddressed) dispatch(message, nowMilliseconds, output)
+        dispatcher.dispatch(message, nowMilliseconds, output)
     }
 
     /** Handles timeouts and due rounds; to be called at least once per heartbeat interval. */
     fun tick(nowMilliseconds: Long): ReplicationOutput = collectOutput { output ->
         when {
+            handOver.stepDownIfStopping(nowMilliseconds, output) -> Unit
             state.role == Role.LEADER -> {
                 leadership.tick(nowMilliseconds, output)
                 membershipManager.proposeNextChange(nowMilliseconds, output)
@@ -65,6 +67,18 @@
         }
     }
 
+    /**
+     * Prepares for the planned stop of this process. From now on every message says that it stops, so that the leader
+     * lets a learner replace it. If it leads, it steps down, now or at a later tick.
+     */
+    fun prepareStop(nowMilliseconds: Long): ReplicationOutput = collectOutput { output ->
+        state.isStopping = true
+        handOver.stepDownIfStopping(nowMilliseconds, output)
+    }
+
+    /** Whether the group does not need this replica's vote any more, or has no learner that could take it over. */
+    val mayStop: Boolean get() = !state.isVoter || state.membership.learners.isEmpty()
+
     /** Proposes [command]; only a leader accepts it. */
     fun propose(command: ControlCommand, nowMilliseconds: Long): ProposalResult {
         val isMembershipChange = command.kind == ControlCommandKind.CHANGE_MEMBERSHIP
@@ -121,33 +135,9 @@
         membership = state.membership,
     )
 
-    private fun dispatch(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
-        if (message.kind in REPLY_KINDS && message.term > state.term) leadership.becomeFollower(message.term, output)
-        when (message.kind) {
-            ReplicationKind.APPEND -> appendReceiver.receiveAppend(message, nowMilliseconds, output)
-            ReplicationKind.SNAPSHOT -> appendReceiver.receiveSnapshot(message, nowMilliseconds, output)
-            ReplicationKind.APPEND_REPLY -> leadership.receiveReply(message, nowMilliseconds, output)
-            ReplicationKind.JOIN -> membershipManager.addLearner(message.from, nowMilliseconds, output)
-            ReplicationKind.PRE_VOTE -> {
-                election.receive(message, nowMilliseconds, output)
-                membershipManager.addReturningVoter(message.from, nowMilliseconds, output)
-            }
-            ReplicationKind.PRE_VOTE_REPLY, ReplicationKind.VOTE, ReplicationKind.VOTE_REPLY,
-            -> election.receive(message, nowMilliseconds, output)
-        }
-    }
-
     private fun collectOutput(decide: (OutputCollector) -> Unit): ReplicationOutput {
         val output = OutputCollector(state)
         decide(output)
         return output.collect()
     }
-
-    private companion object {
-        val REPLY_KINDS = setOf(
-            ReplicationKind.APPEND_REPLY,
-            ReplicationKind.VOTE_REPLY,
-            ReplicationKind.PRE_VOTE_REPLY,
-        )
-    }
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
@@ -63,6 +63,7 @@
     fun receiveReply(reply: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
         val peer = progress[reply.from]
         if (state.role != Role.LEADER || reply.term != state.term || peer == null) return
+        peer.isStopping = reply.stopping
         peer.answeredRound = maxOf(peer.answeredRound ?: reply.round, reply.round)
         if (reply.granted) {
             peer.matchIndex = maxOf(peer.matchIndex, reply.lastIndex)
@@ -98,9 +99,11 @@
     /** Whether an entry of the current term is committed here, so that all earlier commits are applied too. */
     fun hasCommittedInTerm(): Boolean = state.log.termAt(state.commitIndex) == state.term
 
+    /** Sends a round to all peers; one that was removed gets its last append, so that it learns of the removal. */
     private fun sendRound(nowMilliseconds: Long, output: OutputCollector) {
         nextRoundMilliseconds = state.settings.nextRoundAfter(nowMilliseconds)
-        progress.retainPeers()
+        val removed = progress.removePeers()
         state.peers.forEach { appendSender.send(it, progress.getOrCreate(it), nowMilliseconds, output) }
+        removed.forEach { (replica, peer) -> appendSender.send(replica, peer, nowMilliseconds, output) }
     }
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipManager.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipManager.kt
@@ -8,7 +8,7 @@
 import cassiaspindle.schema.ReplicationMessage
 
 /**
- * Changes the membership of the group: adds learners, and proposes what [nextMembership] decides.
+ * Changes the membership of the group: adds learners, and proposes what the [MembershipRule] decides.
  *
  * A replica that lost its data folder joins as a learner with a new identity. Once it answers, its old identity is
  * removed from the voters; once it has caught up, it becomes a voter. Each change is committed before the next.
@@ -23,7 +23,7 @@
     /** Join requests to the replicas named [names]; none if this replica is a member or follows a leader. */
     fun joinRequests(names: List<String>, output: OutputCollector): List<ReplicationMessage> {
         val isMember = state.isVoter || state.self in state.membership.learners
-        if (isMember || state.leader != null) return emptyList()
+        if (isMember || state.isStopping || state.leader != null) return emptyList()
         return names.filter { it != state.self.name }
             .map { output.message(ReplicationKind.JOIN, Replica(it, identity = "")) }
     }
@@ -37,18 +37,19 @@
     }
 
     /**
-     * Adds [candidate], which requests a pre-vote, as a learner if it is not a voter.
+     * Adds the sender of [request], a pre-vote, as a learner if it is neither a voter nor about to stop.
      *
      * It was removed as lost and does not know of its removal.
      */
-    fun addReturningVoter(candidate: Replica, nowMilliseconds: Long, output: OutputCollector) {
-        if (candidate !in state.membership.voters) addLearner(candidate, nowMilliseconds, output)
+    fun addReturningVoter(request: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
+        val isReturning = !request.stopping && request.from !in state.membership.voters
+        if (isReturning) addLearner(request.from, nowMilliseconds, output)
     }
 
     /** Proposes the next change if one is due: the removal of a voter or the promotion of a learner. */
     fun proposeNextChange(nowMilliseconds: Long, output: OutputCollector) {
         if (!canChange) return
-        nextMembership(viewAt(nowMilliseconds))?.let { proposeMembership(it, nowMilliseconds, output) }
+        state.settings.membershipRule(viewAt(nowMilliseconds))?.let { proposeMembership(it, nowMilliseconds, output) }
     }
 
     private fun viewAt(nowMilliseconds: Long): MembershipView {
@@ -58,15 +59,15 @@
         return MembershipView(
             membership = state.membership,
             replaced = voters.filter { it.name in replacedNames }.toSet(),
-            absent = absentVoters(nowMilliseconds),
-            ready = answering.filter(leadership.progress::isCaughtUp),
+            absent = lostVoters(nowMilliseconds) + voters.filter(leadership.progress::isStopping),
+            ready = answering.filter { leadership.progress.isCaughtUp(it) && !leadership.progress.isStopping(it) },
             toleratedLosses = state.settings.toleratedLosses,
             maximumVoters = state.settings.maximumVoters,
         )
     }
 
     /** The voters that were silent for the loss timeout; a leader counts none before it has led that long. */
-    private fun absentVoters(nowMilliseconds: Long): Set<Replica> {
+    private fun lostVoters(nowMilliseconds: Long): Set<Replica> {
         val timeout = state.settings.voterLossTimeoutMilliseconds
         if (leadership.leaderSinceMilliseconds >= nowMilliseconds - timeout) return emptySet()
         return state.membership.voters.filter { isSilent(it, nowMilliseconds, timeout) }.toSet()
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipPlan.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipPlan.kt
@@ -14,7 +14,7 @@
     val membership: GroupMembership,
     /** Voters whose name now belongs to a learner with another identity: the old identity never returns. */
     val replaced: Set<Replica>,
-    /** Voters that don't answer at the moment; they may return with their disks. */
+    /** Voters that don't answer at the moment or are about to stop; they may return with their disks. */
     val absent: Set<Replica>,
     /** Learners that answer and hold all committed entries. */
     val ready: List<Replica>,
@@ -23,6 +23,9 @@
     val maximumVoters: Int,
 )
 
+/** Decides on the next change of a membership. */
+typealias MembershipRule = (MembershipView) -> GroupMembership?
+
 /**
  * The membership after the next change, or null if no change is due.
  *
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/OutputCollector.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/OutputCollector.kt
@@ -16,8 +16,14 @@
     private val applied = mutableListOf<AppliedCommand>()
     private val group: Int get() = state.settings.group
 
-    fun message(kind: ReplicationKind, to: Replica) =
-        ReplicationMessage(kind = kind, group = group, from = state.self, to = to, term = state.term)
+    fun message(kind: ReplicationKind, to: Replica) = ReplicationMessage(
+        kind = kind,
+        group = group,
+        from = state.self,
+        to = to,
+        term = state.term,
+        stopping = state.isStopping,
+    )
 
     fun send(message: ReplicationMessage) {
         messages += message
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ProgressTable.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ProgressTable.kt
@@ -7,6 +7,9 @@
     /** The newest round that the peer has answered in this term, or null. */
     var answeredRound: Long? = null
 
+    /** Whether the peer has reported that its process is about to stop. */
+    var isStopping = false
+
     /** Index of the next entry to send. */
     var nextIndex = lastIndex + 1
 
@@ -33,9 +36,11 @@
     /** The progress of the peer [replica], created if it is new. */
     fun getOrCreate(replica: Replica): Progress = peers.getOrPut(replica) { Progress(state.log.lastIndex) }
 
-    /** Removes replicas that are no longer peers. */
-    fun retainPeers() {
-        peers.keys.retainAll(state.peers.toSet())
+    /** Removes the replicas that are no longer peers, and returns their progress. */
+    fun removePeers(): Map<Replica, Progress> {
+        val removed = peers - state.peers.toSet()
+        peers -= removed.keys
+        return removed
     }
 
     /** The newest round that a quorum has answered, or null if there is none in this term. */
@@ -54,6 +59,12 @@
     fun isSilent(voter: Replica, sinceMilliseconds: Long): Boolean =
         voter != state.self && (peers[voter]?.answeredRound ?: 0) < sinceMilliseconds
 
+    /** Whether [replica] has reported that its process is about to stop. */
+    fun isStopping(replica: Replica): Boolean = peers[replica]?.isStopping ?: false
+
+    /** Whether the log of [replica] contains all entries of the leader. */
+    fun hasWholeLog(replica: Replica): Boolean = (peers[replica]?.matchIndex ?: 0) >= state.log.lastIndex
+
     /** Whether the log of [replica] contains all committed entries. */
     fun isCaughtUp(replica: Replica): Boolean = (peers[replica]?.matchIndex ?: 0) >= state.commitIndex
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
@@ -45,6 +45,9 @@
     var unsyncedWrites = 0
     var membership = log.membership
 
+    /** Whether this process is about to stop: it seeks no new tasks, and all its messages say so. */
+    var isStopping = false
+
     /**
      * No leader of this term or an earlier one holds a lease; 0 if nothing is known. A replica that led a term knows it
      * after a restart: the lease of the term ended with the old process, and those before it had ended when the term
@@ -93,9 +96,11 @@
         electionDeadlineMilliseconds = minOf(electionDeadlineMilliseconds, soon)
     }
 
+    /** Sets the time of the next attempt at an election; a replica that stops leaves the first attempt to others. */
     fun resetElectionTimer(nowMilliseconds: Long) {
         val timeout = settings.electionTimeoutMilliseconds
-        electionDeadlineMilliseconds = nowMilliseconds + timeout + random(timeout.toInt())
+        val shortest = if (isStopping) 2 * timeout else timeout
+        electionDeadlineMilliseconds = nowMilliseconds + shortest + random(timeout.toInt())
     }
 
     /** Whether a log that ends at [lastIndex] in [lastTerm] is at least as up to date as the log of this replica. */
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicationSettings.kt
@@ -28,6 +28,7 @@
     val voterLossTimeoutMilliseconds: Long = DEFAULT_VOTER_LOSS_TIMEOUT_MILLISECONDS,
     /** Number of disks that may be lost at the same time; the group does not shrink below twice that and one. */
     val toleratedLosses: Int = DEFAULT_TOLERATED_LOSSES,
+    val membershipRule: MembershipRule = ::nextMembership,
 ) {
     /** Interval between two rounds of appends of the leader. */
     val heartbeatMilliseconds: Long get() = electionTimeoutMilliseconds / HEARTBEATS_PER_ELECTION_TIMEOUT
--- a/history/src/main/kotlin/cassiaspindle/history/control/SimulatedReplica.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/control/SimulatedReplica.kt
@@ -3,6 +3,7 @@
 import cassiaspindle.control.group.ControlEffect
 import cassiaspindle.control.group.ControlReplica
 import cassiaspindle.control.group.ControlReplicaSettings
+import cassiaspindle.core.concurrency.RandomSource
 import cassiaspindle.schema.GroupMembership
 import cassiaspindle.schema.Replica
 import kotlin.random.Random
@@ -24,6 +25,7 @@
     private val replicaNames: List<String>,
     private val random: Random,
     private val faults: ControlFaults,
+    private val settings: (ControlReplicaSettings) -> ControlReplicaSettings = { it },
 ) {
     private val offsetMilliseconds = random.nextLong(MAXIMUM_CLOCK_OFFSET_MILLISECONDS)
     private val ratePerMille = PER_MILLE + random.nextInt(-faults.driftPerMille, faults.driftPerMille + 1)
@@ -41,7 +43,7 @@
     fun now(trueMilliseconds: Long): Long = offsetMilliseconds + trueMilliseconds * ratePerMille / PER_MILLE
 
     fun start(trueMilliseconds: Long) {
-        val settings = ControlReplicaSettings(
+        val defaultSettings = ControlReplicaSettings(
             self = identity,
             names = { replicaNames },
             electionTimeoutMilliseconds = SimulationSettings.ELECTION_TIMEOUT_MILLISECONDS,
@@ -50,9 +52,11 @@
             snapshotEveryEntries = SimulationSettings.SNAPSHOT_EVERY_ENTRIES,
             toleratedLosses = (replicaNames.size - 1) / 2,
         )
+        val changedSettings = settings(defaultSettings)
         val groupStates = disk.recoverGroups(SimulationSettings.GROUPS)
         val startMilliseconds = faults.startTime(now(trueMilliseconds))
-        controlReplica = ControlReplica(settings, groupStates, { random.nextInt(it) }, startMilliseconds, disk::add)
+        val randomSource: RandomSource = { random.nextInt(it) }
+        controlReplica = ControlReplica(changedSettings, groupStates, randomSource, startMilliseconds, disk::add)
     }
 
     fun crash() {
