Put the stored content of a version in force, not the one that was sent

Cause: OK to APPLY_CONFIGURATION says that the version is settled, not with which content. ConfigurationHandler took it for "mine is stored" and put its own content in force. FleetState, ActiveConfiguration and FleetPublisher compared versions only, so that nothing repaired it.

Change: the outcome holds the stored configuration if that is another one than was sent, and that one is put in force. A presence reports the digest of the content in force; a replica repairs an entry VM whose digest differs under the same version. configuration_put logs what is stored, and configuration_in_force the digest. What the operator is told is unchanged.

Tests, failing before: ConfigurationRegistryTest ("the outcome holds ...": null instead of the stored one).

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/EntryPresencePublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/EntryPresencePublisher.kt
@@ -42,6 +42,7 @@
         callerAddress = settings.callerAddress,
         ready = isReady,
         configurationVersion = fleetState.configuration.version,
+        configurationDigest = fleetState.configuration.contentDigest,
         fleetDigest = fleetDigestOf(fleetState.runners.digest(), fleetState.entries.digest),
         suspicionDigest = fleetState.contentGuard.digest,
     )
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ConfigurationHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ConfigurationHandler.kt
@@ -7,6 +7,7 @@
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.MAXIMUM_CONFIGURATION_BYTES
 import cassiaspindle.daemon.relay.fleet.SubmissionResult
+import cassiaspindle.daemon.relay.fleet.contentDigestOf
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.daemon.relay.protocol.OperatorProtocol
 import cassiaspindle.relay.configuration.validateConfiguration
@@ -55,25 +56,41 @@
 
     /** A version that is not newer than the one in force, which is stored already, needs no command. */
     private suspend fun store(call: RelayCall, configuration: RelayConfiguration, text: String) {
+        val sent = StoredConfiguration(configuration.version, compressText(text))
         val inForce = fleetState.configuration.version
         if (configuration.version <= inForce) {
-            log.write("configuration_put", "version" to configuration.version, "in_force" to inForce)
+            val isOther = sent.version == inForce && contentDigestOf(sent) != fleetState.configuration.contentDigest
+            log.write(
+                "configuration_put",
+                "version" to sent.version,
+                "in_force" to inForce,
+                "other_content_stored" to isOther,
+            )
             call.respondEmpty(ResultCode.OK)
-            return
+        } else {
+            submit(call, sent)
         }
-        val stored = StoredConfiguration(configuration.version, compressText(text))
-        val command = ControlCommand(ControlCommandKind.APPLY_CONFIGURATION, configuration = stored)
+    }
+
+    /** An acknowledged version is in force with the content that is stored, which need not be the one [sent]. */
+    private suspend fun submit(call: RelayCall, sent: StoredConfiguration) {
+        val command = ControlCommand(ControlCommandKind.APPLY_CONFIGURATION, configuration = sent)
         val result = commandClient.submit(command, COMMAND_TIMEOUT_MILLISECONDS)
-        val isStored = result.outcome?.code == ResultCode.OK.number
-        logResult("configuration_put", stored.version, result)
-        if (isStored) fleetState.applyConfiguration(stored)
-        call.respondEmpty(if (isStored) ResultCode.OK else ResultCode.CONTROL_UNREACHABLE)
+        val outcome = result.outcome?.takeIf { it.code == ResultCode.OK.number }
+        logResult("configuration_put", sent.version, result)
+        if (outcome == null) {
+            call.respondEmpty(ResultCode.CONTROL_UNREACHABLE)
+            return
+        }
+        fleetState.applyConfiguration(outcome.configuration ?: sent)
+        call.respondEmpty(ResultCode.OK)
     }
 
     private fun logResult(event: String, version: Long?, result: SubmissionResult) = log.write(
         event,
         "version" to version,
         "code" to result.outcome?.code,
+        "stored" to result.outcome?.configuration?.version,
         "tries" to result.attempts,
         "asked" to result.lastReplica,
         "undecided_code" to result.undecidedCode,
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -51,6 +51,7 @@
     private val followers = ConcurrentHashMap<String, FrameSender>()
     private val fleetRelay = FleetRelay(environment.relay)
     private val isEntryListChanged = AtomicBoolean()
+    private val configurationDigests = ConfigurationDigestCache()
 
     init {
         fleetState.addRunnerListener { publish(FleetNews(runners = listOf(it))) }
@@ -68,8 +69,7 @@
         } else {
             followers -= presence.name
         }
-        val newest = environment.configuration()
-        val missingConfiguration = newest?.takeIf { presence.configurationVersion < it.version }
+        val missingConfiguration = environment.configuration()?.takeIf { configurationDigests.isMissing(it, presence) }
         val fleetDigest = fleetDigestOf(fleetState.runners.digest(), presences.live().digest)
         val differs = missingConfiguration != null || (presence.follows && presence.fleetDigest != fleetDigest)
         val isResponsible = presence.follows || environment.isLeader()
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -85,14 +85,23 @@
         return changed
     }
 
-    /** Puts [stored] in force if it is newer. */
+    /** Puts [stored], which the control replicas have stored, in force if it is newer or has other content. */
     fun applyConfiguration(stored: StoredConfiguration) {
-        if (stored.version <= configuration.version) return
+        val digest = contentDigestOf(stored)
+        if (!configuration.isReplacedBy(stored.version, digest)) return
         decompressText(stored.content, MAXIMUM_CONFIGURATION_BYTES).flatMap(readConfiguration)
             .onSuccess {
-                val isNewer = configuration.offer(RouteTable(it))
+                val replacedVersion = configuration.version
+                val isChanged = configuration.offer(RouteTable(it), digest)
                 firstConfiguration.complete(Unit)
-                if (isNewer) log.write("configuration_in_force", "version" to it.version)
+                if (isChanged) {
+                    log.write(
+                        "configuration_in_force",
+                        "version" to it.version,
+                        "digest" to digest,
+                        "replaced" to replacedVersion,
+                    )
+                }
             }
             .onFailure {
                 log.write("configuration_unreadable", "version" to stored.version, "detail" to it.detail)
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
@@ -110,6 +110,22 @@
         received.getValue("entry-1").mapNotNull(FleetNews::configuration).size shouldBe 1
     }
 
+    /** Guards against review case 3: only versions were compared, so that other content was never repaired. */
+    @Test
+    fun `a follower that holds other content under the stored version receives the stored one`() {
+        val stored = StoredConfiguration(3, "stored").also { configuration = it }
+        val presence =
+            EntryPresence("entry-1", 1, "a", "c:1", ready = true, configurationVersion = 3, follows = true)
+        val digests = listOf(contentDigestOf(stored), 0L, contentDigestOf(stored.copy(content = "other")))
+        val sent = digests.map { digest ->
+            val news = mutableListOf<FleetNews>()
+            val reported = presence.copy(name = "entry-$digest", configurationDigest = digest)
+            publisher.receiveEntryPresence(reported) { news.addAll(listOfNotNull(it.frame.fleetNews)) }
+            news.mapNotNull(FleetNews::configuration)
+        }
+        sent shouldBe listOf(emptyList(), emptyList(), listOf(stored))
+    }
+
     @Test
     fun `a follower whose connection closed receives nothing until its next presence report`() {
         reportPresence(1, follows = true)
--- a/decision/control/src/main/kotlin/cassiaspindle/control/configuration/ConfigurationRegistry.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/configuration/ConfigurationRegistry.kt
@@ -14,12 +14,15 @@
     /**
      * Stores [configuration] if its version is higher than the stored one.
      *
-     * Any other configuration is ignored with the same answer, so that a retry is never refused.
+     * Any other configuration is ignored with the same code, so that a retry is never refused. The outcome holds the
+     * stored configuration if that is another one than [configuration]: OK means that the version is settled, not that
+     * this content is.
      */
     fun apply(configuration: StoredConfiguration): CommandOutcome {
         val current = newest
-        if (current == null || configuration.version > current.version) newest = configuration
-        return CommandOutcome(ResultCode.OK.number)
+        val isNewer = current == null || configuration.version > current.version
+        if (isNewer) newest = configuration
+        return CommandOutcome(ResultCode.OK.number, configuration = current.takeIf { !isNewer && it != configuration })
     }
 
     /** Returns [state] with the configuration added. */
--- a/decision/control/src/test/kotlin/cassiaspindle/control/configuration/ConfigurationRegistryTest.kt
+++ b/decision/control/src/test/kotlin/cassiaspindle/control/configuration/ConfigurationRegistryTest.kt
@@ -21,6 +21,16 @@
         registry.newest shouldBe higher
     }
 
+    /** Guards against review case 3: whoever sent other content under the stored version took its own for stored. */
+    @Test
+    fun `the outcome holds the stored configuration unless the same one was sent`() {
+        val registry = ConfigurationRegistry()
+        registry.apply(stored).configuration shouldBe null
+        registry.apply(stored).configuration shouldBe null
+        registry.apply(stored.copy(content = "other")).configuration shouldBe stored
+        registry.apply(StoredConfiguration(version = 4, content = "four")).configuration shouldBe stored
+    }
+
     @Test
     fun `a snapshot restores the configuration`() {
         val registry = ConfigurationRegistry().apply { apply(stored) }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/PresenceTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/PresenceTable.kt
@@ -49,4 +49,4 @@
 
 /** The presence as published to others: the fields that change often are cleared. */
 internal fun EntryPresence.withoutVolatileFields(): EntryPresence =
-    copy(configurationVersion = 0, fleetDigest = 0, follows = false, suspicionDigest = 0)
+    copy(configurationVersion = 0, configurationDigest = 0, fleetDigest = 0, follows = false, suspicionDigest = 0)
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/configuration/RouteTableTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/configuration/RouteTableTest.kt
@@ -35,4 +35,16 @@
         active.offer(RouteTable(configuration.copy(version = 9))) shouldBe true
         active.version shouldBe 9
     }
+
+    /** Guards against review case 3: an entry VM that held other content under the stored version kept it. */
+    @Test
+    fun `the stored content of the active version replaces another one, that of an older version does not`() {
+        val active = ActiveConfiguration()
+        active.offer(RouteTable(configuration), contentDigest = 1)
+        val stored = configuration.copy(routes = emptyList())
+        active.offer(RouteTable(stored), contentDigest = 2) shouldBe true
+        active.table?.configuration shouldBe stored
+        active.offer(RouteTable(stored), contentDigest = 2) shouldBe false
+        active.offer(RouteTable(configuration.copy(version = 6)), contentDigest = 3) shouldBe false
+    }
 }
