Record that a backend server leaves in the replicated log

Cause: an acknowledged leave lived in the memory of a quorum of replicas. Two more things met it: an entry VM forwarded an announcement that it knew to be outdated, and the digest by which replicas and entry VMs compare their fleets leaves out those that left.

Change: RECORD_LEAVE is a replicated command; the call is acknowledged once a quorum has synced it. Replicas apply the recorded leaves to their fleet, after a restart too. All replicas still get the notice directly, so that entry VMs learn of it a round earlier; how many have it in memory decides no more, so that learners that are gone can't hold an acknowledgement up. An outdated announcement is acknowledged and goes nowhere. A DELETE for a backend server that is not known here is answered 200 only by a process that has received the whole fleet, else 503.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -8,6 +8,7 @@
 import cassiaspindle.daemon.relay.fleet.FleetPublisher
 import cassiaspindle.daemon.relay.fleet.FleetPublisherEnvironment
 import cassiaspindle.daemon.relay.fleet.FleetState
+import cassiaspindle.daemon.relay.fleet.RecordedLeaves
 import cassiaspindle.daemon.relay.fleet.ReplicaConnections
 import cassiaspindle.daemon.relay.fleet.SuspicionEnvironment
 import cassiaspindle.daemon.relay.fleet.SuspicionPublisher
@@ -51,6 +52,7 @@
     private val supervisor = ReplicaSupervisor(environment.log, ::openReplica)
     private val replicaDiscovery = ReplicaDiscovery(environment.clock.monotonicMilliseconds, settings.seedPeerAddresses)
     private val publishedVersion = AtomicLong()
+    private val recordedLeaves = RecordedLeaves(dependencies.fleetState)
     private val discoveryRound = AtomicInteger()
     private val statusLogger = ReplicaStatusLogger(environment.log)
 
@@ -195,6 +197,7 @@
     private fun onReplicaProcessed(replica: ControlReplica) {
         handOver.recordProcessed(replica)
         statusLogger.logIfChanged(replica.documentGroupStatus())
+        recordedLeaves.apply(replica.reads)
         val configuration = replica.reads.currentConfiguration() ?: return
         if (publishedVersion.getAndAccumulate(configuration.version, ::maxOf) < configuration.version) {
             publisher.publishConfiguration(configuration)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ControlRequestHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ControlRequestHandler.kt
@@ -25,7 +25,7 @@
     private val log: EventLog,
 ) {
     private val configurationHandler = ConfigurationHandler(protocol, commandClient, fleetState, log)
-    private val announcementHandler = AnnouncementHandler(replicaConnections, fleetState, log)
+    private val announcementHandler = AnnouncementHandler(replicaConnections, commandClient, fleetState, log)
 
     /** Handles one request. */
     suspend fun handle(call: RelayCall) = try {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -18,6 +18,7 @@
 import com.github.michaelbull.result.onSuccess
 import kotlinx.coroutines.CompletableDeferred
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
 
 /** Maximum size of an unpacked configuration, in bytes. */
@@ -42,6 +43,7 @@
     val contentGuard = ContentGuard()
 
     private val clearingListener = AtomicReference<(List<String>) -> Unit> {}
+    private val informed = AtomicBoolean()
     private val firstConfiguration = CompletableDeferred<Unit>()
     private val listeners = CopyOnWriteArrayList<(RunnerNotice) -> Unit>()
 
@@ -56,8 +58,12 @@
     /** Waits until a configuration is in force. */
     suspend fun awaitConfiguration() = firstConfiguration.await()
 
+    /** Whether a control replica has sent the whole fleet, so that a backend server that is not known here is new. */
+    val isInformed: Boolean get() = informed.get()
+
     /** Applies [news] from a control replica. */
     fun applyNews(news: FleetNews) {
+        if (news.presencesKnown) informed.set(true)
         news.configuration?.let(::applyConfiguration)
         news.runners.forEach { applyNotice(it) }
         if (news.presencesKnown) entries.replace(news.entryPresences)
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
@@ -9,6 +9,7 @@
 import cassiaspindle.schema.OrderName
 import cassiaspindle.schema.OrderRecord
 import cassiaspindle.schema.OrderState
+import cassiaspindle.schema.RunnerNotice
 import cassiaspindle.schema.StoredConfiguration
 import cassiaspindle.schema.StoredDocument
 
@@ -39,6 +40,15 @@
         ContentDecisions(registry.all(), registry.trials()).takeIf { shard.replica.isCurrent }
     }
 
+    /** Changes with [leaves]. */
+    val leaveRevision: Long get() = shards.withIndex(DOCUMENT_GROUP) { it.stateMachine.leaves.revision }
+
+    /**
+     * The backend servers that left, as far as this replica has applied it. That may be stale, but never wrong: a
+     * leave is final for the start of the backend server that it names.
+     */
+    fun leaves(): List<RunnerNotice> = shards.withIndex(DOCUMENT_GROUP) { it.stateMachine.leaves.notices() }
+
     /** Whether this replica is the leader of group 0, without a check of its lease. */
     fun isLeader(): Boolean = shards.withIndex(DOCUMENT_GROUP) { it.replica.isLeader }
 
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReplica.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReplica.kt
@@ -126,6 +126,7 @@
             intent = command.intent?.copy(atMilliseconds = wallMilliseconds),
             blockedContent = command.blockedContent?.copy(blockedMilliseconds = wallMilliseconds),
             trial = command.trial?.copy(startMilliseconds = wallMilliseconds),
+            leave = command.leave?.copy(recordedMilliseconds = wallMilliseconds),
         )
         return shards.withIndex(groupOf(command)) {
             if (command.kind == ControlCommandKind.READ_CONFIGURATION) {
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlStateMachine.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlStateMachine.kt
@@ -3,6 +3,7 @@
 import cassiaspindle.control.blocking.BlockedContentRegistry
 import cassiaspindle.control.configuration.ConfigurationRegistry
 import cassiaspindle.control.document.DocumentRegistry
+import cassiaspindle.control.leave.LeaveRegistry
 import cassiaspindle.control.ledger.OrderLedger
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.replication.StateMachine
@@ -22,6 +23,9 @@
     /** The contents that no request may hold. */
     val blockedContents = BlockedContentRegistry()
 
+    /** The backend servers that left. */
+    val leaves = LeaveRegistry()
+
     /** The orders. */
     val orders = OrderLedger(retentionMilliseconds)
 
@@ -32,8 +36,16 @@
         restore = ::restore,
     )
 
-    private fun capture(): GroupState =
-        blockedContents.capture(configurations.capture(orders.capture(documents.capture(GroupState()))))
+    private fun capture(): GroupState {
+        val capturers = listOf(
+            documents::capture,
+            orders::capture,
+            configurations::capture,
+            blockedContents::capture,
+            leaves::capture,
+        )
+        return capturers.fold(GroupState()) { state, capture -> capture(state) }
+    }
 
     private fun apply(command: ControlCommand): CommandOutcome = when (command.kind) {
         ControlCommandKind.APPLY_DOCUMENT -> command.document?.let { documents.apply(it, command.digest.orEmpty()) }
@@ -43,6 +55,7 @@
         ControlCommandKind.BLOCK_CONTENT -> command.blockedContent?.let(blockedContents::block)
         ControlCommandKind.UNBLOCK_CONTENT -> command.blockedContent?.let { blockedContents.unblock(it.content) }
         ControlCommandKind.START_TRIAL -> command.trial?.let(blockedContents::startTrial)
+        ControlCommandKind.RECORD_LEAVE -> command.leave?.let(leaves::record)
         ControlCommandKind.NO_OPERATION, ControlCommandKind.CHANGE_MEMBERSHIP, ControlCommandKind.READ_CONFIGURATION ->
             CommandOutcome(ResultCode.OK.number)
     } ?: CommandOutcome(ResultCode.MALFORMED.number)
@@ -52,5 +65,6 @@
         orders.restore(state)
         configurations.restore(state)
         blockedContents.restore(state)
+        leaves.restore(state)
     }
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/RunnerTable.kt
@@ -32,6 +32,9 @@
         return isChanged
     }
 
+    /** Whether a later notice of the same backend server is stored than [notice], which therefore changes nothing. */
+    fun isOutdated(notice: RunnerNotice): Boolean = find(notice.id)?.let { supersedes(it, notice) } ?: false
+
     /** The notice of the backend server [id], or null. */
     fun find(id: String): RunnerNotice? = shards.withKey(id) { it[id]?.notice }
 
