--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/LocalReplica.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/LocalReplica.kt
@@ -36,6 +36,9 @@
 
 private const val MAXIMUM_VOTERS = 5
 
+/** Five rounds of the leader without an answer, in milliseconds; a voter that returns later joins again. */
+private const val VOTER_LOSS_TIMEOUT_MILLISECONDS = 1_500L
+
 /** Dependencies of a replica on its process. */
 data class ReplicaEnvironment(
     val clock: Clock,
@@ -109,6 +112,7 @@
             snapshotEveryEntries = SNAPSHOT_EVERY_ENTRIES,
             maximumVoters = MAXIMUM_VOTERS,
             toleratedLosses = settings.toleratedLosses,
+            voterLossTimeoutMilliseconds = VOTER_LOSS_TIMEOUT_MILLISECONDS,
         )
         val persistentStates = openedLog.replayGroups(initialMembership, groups = 1)
         driver.attach(
