Play kills of all processes and leaves of backend servers in the histories of the core

Change: MembershipSimulation submits a leave beside each version, kills all processes at times, and checks in the end that each acknowledged leave is there.

--- a/history/src/main/kotlin/cassiaspindle/history/membership/CoreDisruptions.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/membership/CoreDisruptions.kt
@@ -40,6 +40,7 @@
         ::loseDisk,
         ::restart,
         ::cutOff,
+        ::killAll,
     )
 
     private fun loseDisk() = disturb { machine ->
@@ -69,6 +70,15 @@
         cut
     }
 
+    /** Kills all processes, unless one is about to stop: it would not come back. All are lost until they catch up. */
+    private fun killAll() {
+        if (replacements.isAnyLeaving) return
+        core.machines.all.forEach { machine ->
+            machine.crash()
+            losses.recordDisruption(machine.name, schedule.now(), schedule.now() + startLater(machine))
+        }
+    }
+
     /** Applies [disruption], which returns its duration in milliseconds, to a machine if one more may be lost. */
     private fun disturb(disruption: (machine: SimulatedReplica) -> Long) {
         val name = replacements.availableMachines().randomOrNull(random) ?: return
--- a/history/src/main/kotlin/cassiaspindle/history/membership/MembershipFaults.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/membership/MembershipFaults.kt
@@ -9,4 +9,6 @@
     val membershipRule: MembershipRule = ::nextMembership,
     /** Whether a replica that stops as planned reports it. */
     val reportsStop: () -> Boolean = { true },
+    /** Whether the leave of a backend server is recorded before it is acknowledged. */
+    val recordsLeaves: () -> Boolean = { true },
 )
--- a/history/src/main/kotlin/cassiaspindle/history/membership/MembershipSimulation.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/membership/MembershipSimulation.kt
@@ -1,11 +1,6 @@
 package cassiaspindle.history.membership
 
-import cassiaspindle.control.group.ControlEffect
-import cassiaspindle.core.result.ResultCode
 import cassiaspindle.history.request.ScheduledActionQueue
-import cassiaspindle.schema.ControlCommand
-import cassiaspindle.schema.ControlCommandKind
-import cassiaspindle.schema.StoredConfiguration
 import kotlin.random.Random
 
 private const val ROUND_MILLISECONDS = 20L
@@ -28,8 +23,8 @@
 )
 
 /**
- * Simulates a core whose machines are replaced, added, stopped, killed, cut off and lose their disks, all drawn from
- * one seed.
+ * Simulates a core whose machines are replaced, added, stopped, killed, also all at once, cut off and lose their disks,
+ * all drawn from one seed.
  *
  * No more machines are lost at the same time than the core tolerates. A machine is lost while it is down or cut off and
  * until its catch-up time is over. One that is replaced is not lost, since its successor starts a catch-up time
@@ -49,9 +44,8 @@
         after = { milliseconds, action -> queue.add(now + milliseconds, action) },
     )
     private val disruptions = CoreDisruptions(core, LossAccount(toleratedLosses), schedule, random)
+    private val workload = CoreWorkload(core, faults)
     private var now = 0L
-    private var submittedVersion = 0L
-    private var acknowledgedVersion = 0L
 
     /** Runs the simulation. */
     fun run(): MembershipSimulationResult {
@@ -63,7 +57,7 @@
         return MembershipSimulationResult(
             seed,
             violations(),
-            acknowledgedVersion,
+            workload.acknowledgedVersion,
             disruptions.replacedMachines,
             disruptions.lostDisks,
         )
@@ -72,29 +66,12 @@
     private fun runRound() {
         now += ROUND_MILLISECONDS
         generateSequence { queue.poll(now) }.forEach { it.action() }
-        core.runRound(now).forEach(::handleAnswer)
-        if (now % SUBMISSION_MILLISECONDS == 0L) submitNextVersion()
-    }
-
-    private fun submitNextVersion() {
-        submittedVersion++
-        val configuration = StoredConfiguration(submittedVersion, "content-$submittedVersion")
-        val command = ControlCommand(ControlCommandKind.APPLY_CONFIGURATION, configuration = configuration)
-        core.submit(command, submittedVersion, now).forEach(::handleAnswer)
-    }
-
-    private fun handleAnswer(answer: ControlEffect.Answer) {
-        val isAccepted = answer.outcome.code == ResultCode.OK.number
-        if (isAccepted) acknowledgedVersion = maxOf(acknowledgedVersion, answer.ticket)
+        core.runRound(now).forEach(workload::handleAnswer)
+        if (now % SUBMISSION_MILLISECONDS == 0L) workload.submitNext(now)
     }
 
     private fun violations(): List<String> {
         val leader = machines.leader(now) ?: return listOf("no leader answers after all disruptions are over")
-        val version = leader.first.reads.currentConfiguration()?.version ?: 0
-        val isStuck = acknowledgedVersion < submittedVersion - RECOVERY_MILLISECONDS / SUBMISSION_MILLISECONDS / 2
-        return listOfNotNull(
-            "version $version is read back after $acknowledgedVersion".takeIf { version < acknowledgedVersion },
-            "changes are accepted no more".takeIf { isStuck },
-        )
+        return workload.violations(leader.first.reads, RECOVERY_MILLISECONDS / SUBMISSION_MILLISECONDS)
     }
 }
--- a/history/src/main/kotlin/cassiaspindle/history/membership/Replacements.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/membership/Replacements.kt
@@ -22,6 +22,9 @@
     var count = 0
         private set
 
+    /** Whether a machine is being replaced. */
+    val isAnyLeaving: Boolean get() = core.machines.all.any { it.name in leaving }
+
     /** The machines that neither are lost nor will be replaced. */
     fun availableMachines(): List<String> = core.machines.all
         .map(SimulatedReplica::name)
--- a/history/src/test/kotlin/cassiaspindle/history/membership/MembershipSimulationTest.kt
+++ b/history/src/test/kotlin/cassiaspindle/history/membership/MembershipSimulationTest.kt
@@ -7,7 +7,10 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldNotBeNull
 
-/** Guards against review cases 1 and 2: a core that does not bear the next loss after its machines were replaced. */
+/**
+ * Guards against review cases 1, 2 and 4: a core that does not bear the next loss after its machines were replaced, and
+ * one that forgets an acknowledged leave when all its processes are killed.
+ */
 class MembershipSimulationTest : AnnotationSpec() {
     @Test
     fun `no core whose machines are replaced loses what it acknowledged or stops`() {
@@ -28,6 +31,11 @@
         firstViolation(MembershipFaults(reportsStop = { false })).shouldNotBeNull()
     }
 
+    @Test
+    fun `a leave that is acknowledged without a record is detected`() {
+        firstViolation(MembershipFaults(recordsLeaves = { false })).shouldNotBeNull()
+    }
+
     private fun firstViolation(faults: MembershipFaults): MembershipSimulationResult? = (1L..SEED_COUNT).asSequence()
         .map { MembershipSimulation(it, faults).run() }
         .firstOrNull { it.violations.isNotEmpty() }
