Never hold more buffered bytes than the budget, nor refuse a message that fits

Cause: BufferBudget added before it checked and took the bytes back, so that the sum stood above the bound for a moment, in which a sound message was refused for the bytes of another one.

Change: the sum is raised only if the result fits, in one atomic update.

--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/BufferBudget.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/BufferBudget.kt
@@ -20,6 +20,9 @@
     /** A reservation for one message, which holds no bytes yet. */
     fun newReservation() = Reservation()
 
+    private fun fits(heldBytes: Long, difference: Long): Boolean =
+        difference <= 0 || heldBytes + difference <= maximumBytes
+
     /** The bytes held for one message. Not thread-safe. */
     inner class Reservation : AutoCloseable {
         private var bytes = 0L
@@ -27,11 +30,8 @@
         /** Holds [newBytes] from now on; throws [BufferBudgetExceededException] if that is more than is free. */
         fun resize(newBytes: Long) {
             val difference = newBytes - bytes
-            val total = heldBytesTotal.addAndGet(difference)
-            if (difference > 0 && total > maximumBytes) {
-                heldBytesTotal.addAndGet(-difference)
-                throw BufferBudgetExceededException(maximumBytes)
-            }
+            val before = heldBytesTotal.getAndUpdate { if (fits(it, difference)) it + difference else it }
+            if (!fits(before, difference)) throw BufferBudgetExceededException(maximumBytes)
             bytes = newBytes
         }
 
