Reword three comments of the membership change

A promotion to an even number of voters leaves the quorum as it is, which is why it raises the margin; the comment told it the other way. No code changed.

--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/GroupReplica.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/GroupReplica.kt
@@ -68,7 +68,7 @@
     }
 
     /**
-     * Prepares for the planned stop of this process. From now on every message says that it stops, so that the leader
+     * Prepares for the planned stop of this process. From now on every message reports the stop, so that the leader
      * lets a learner replace it. If it leads, it steps down, now or at a later tick.
      */
     fun prepareStop(nowMilliseconds: Long): ReplicationOutput = collectOutput { output ->
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipPlan.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipPlan.kt
@@ -49,8 +49,8 @@
 }
 
 /**
- * Whether a learner is promoted: to an even number of voters, which then has one more than its margin needs, in place
- * of an absent voter, or as the first of two.
+ * Whether a learner is promoted: to an even number of voters, whose quorum it does not raise, in place of an absent
+ * voter, or as the first of two.
  */
 private fun MembershipView.canPromote(): Boolean {
     val voters = membership.voters.size
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
@@ -46,7 +46,7 @@
     var unsyncedWrites = 0
     var membership = log.membership
 
-    /** Whether this process is about to stop: it seeks no new tasks, and all its messages say so. */
+    /** Whether this process is about to stop: it seeks no new tasks, and all its messages report it. */
     var isStopping = false
 
     /**
