--- a/history/src/main/kotlin/cassiaspindle/history/membership/LossAccount.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/membership/LossAccount.kt
@@ -3,8 +3,8 @@
 /** Time after a start, or after a disruption has ended, until a machine no longer counts as lost, in milliseconds. */
 internal const val CATCH_UP_MILLISECONDS = 4_000L
 
-/** Time in which a removal without notice is detected, in milliseconds; the platform allows as much for a recovery. */
-private const val DETECTION_MILLISECONDS = 12_000L
+/** Time in which a removal without notice is detected, in milliseconds: two elections and the loss timeout. */
+private const val DETECTION_MILLISECONDS = 6_000L
 
 /** Counts the machines that are lost, so that no more are lost at the same time than the core tolerates. */
 internal class LossAccount(private val toleratedLosses: Int) {
