Log which replica a configuration came from, and why an entry VM that lacks it waits

Cause: the three hypotheses on the older configuration could not be told apart by the log. Change: configuration_in_force has its source; followed_replica_changed, follower_dropped, and configuration_repaired or configuration_repair_waits with the age of the difference and of the last repair. No decision changes.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -92,6 +92,7 @@
                 connections.sendTo(connections.replicas - settings.peerAddress, frame)
             },
             suspicions = suspicionPublisher,
+            log = environment.log,
         ),
     )
     private val frameHandler = ReplicaFrameHandler(
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -121,7 +121,13 @@
         peerSettings,
         selector,
         scope,
-        ReplicaMessageHandlers(fleetState::applyNews) { peer, frame -> controlPlane.receivePresenceFrame(peer, frame) },
+        ReplicaMessageHandlers(
+            onNews = fleetState::applyNews,
+            onPresenceFrame = { peer, frame -> controlPlane.receivePresenceFrame(peer, frame) },
+            onFollowedChanged = { previous, followed ->
+                log.write("followed_replica_changed", "from" to previous, "to" to followed)
+            },
+        ),
         clock.monotonicMilliseconds,
     )
     private val controlPlane: ControlPlaneService =
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -1,7 +1,9 @@
 package cassiaspindle.daemon.relay.fleet
 
+import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.relay.fleet.EntryRepairTable
 import cassiaspindle.relay.fleet.PresenceTable
+import cassiaspindle.relay.fleet.RepairClaim
 import cassiaspindle.relay.fleet.isUsable
 import cassiaspindle.schema.CrashEvidence
 import cassiaspindle.schema.EntryPresence
@@ -39,6 +41,7 @@
     val relay: (FleetNews) -> Unit,
     /** Collects what crashes tell about contents of requests. */
     val suspicions: SuspicionPublisher,
+    val log: EventLog,
 )
 
 /**
@@ -73,15 +76,27 @@
         val fleetDigest = fleetDigestOf(fleetState.runners.digest(), presences.live().digest)
         val differs = missingConfiguration != null || (presence.follows && presence.fleetDigest != fleetDigest)
         val isResponsible = presence.follows || environment.isLeader()
-        val isRepairDue = isResponsible && repairs.claimRepair(presence, differs, environment.now())
+        val repair = if (isResponsible) repairs.claimRepair(presence, differs, environment.now()) else null
+        val isRepairDue = repair?.isDue ?: false
         val news = when {
             isRepairDue -> completeNews().copy(configuration = missingConfiguration)
             presence.follows -> FleetNews()
             else -> null
         }
         news?.let { send(frameOf(environment.suspicions.complete(it, presence))) }
+        if (repair != null && missingConfiguration != null) logRepair(presence, missingConfiguration, repair)
     }
 
+    private fun logRepair(presence: EntryPresence, missing: StoredConfiguration, repair: RepairClaim) =
+        environment.log.write(
+            if (repair.isDue) "configuration_repaired" else "configuration_repair_waits",
+            "entry" to presence.name,
+            "held" to presence.configurationVersion,
+            "missing" to missing.version,
+            "differs_ms" to repair.differsMilliseconds,
+            "since_repair_ms" to repair.sinceRepairMilliseconds,
+        )
+
     /** Handles what an entry VM has learnt from crashes. */
     fun receiveEvidence(evidence: CrashEvidence) = environment.suspicions.receive(evidence, ::publish)
 
@@ -136,7 +151,9 @@
 
     private fun publish(news: FleetNews) {
         val frame = frameOf(news)
-        followers.values.removeIf { send -> !send(frame) }
+        val dropped = followers.filterValues { send -> !send(frame) }.keys
+        followers -= dropped
+        dropped.forEach { environment.log.write("follower_dropped", "entry" to it) }
     }
 
     private fun frameOf(news: FleetNews): OutgoingFrame {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -61,10 +61,10 @@
     /** Whether a control replica has sent the whole fleet, so that a backend server that is not known here is new. */
     val isInformed: Boolean get() = informed.get()
 
-    /** Applies [news] from a control replica. */
-    fun applyNews(news: FleetNews) {
+    /** Applies [news] from the control replica [source]. */
+    fun applyNews(source: String, news: FleetNews) {
         if (news.presencesKnown) informed.set(true)
-        news.configuration?.let(::applyConfiguration)
+        news.configuration?.let { applyConfiguration(it, source) }
         news.runners.forEach { applyNotice(it) }
         if (news.presencesKnown) entries.replace(news.entryPresences)
         contentGuard.applyCleared(news.clearedContents)
@@ -91,8 +91,11 @@
         return changed
     }
 
-    /** Puts [stored], which the control replicas have stored, in force if it is newer or has other content. */
-    fun applyConfiguration(stored: StoredConfiguration) {
+    /**
+     * Puts [stored], which the control replicas have stored, in force if it is newer or has other content. [source] is
+     * the control replica that sent it, or null if this process stored or applied it.
+     */
+    fun applyConfiguration(stored: StoredConfiguration, source: String? = null) {
         val digest = contentDigestOf(stored)
         if (!configuration.isReplacedBy(stored.version, digest)) return
         decompressText(stored.content, MAXIMUM_CONFIGURATION_BYTES).flatMap(readConfiguration)
@@ -106,6 +109,7 @@
                         "version" to it.version,
                         "digest" to digest,
                         "replaced" to replacedVersion,
+                        "source" to source,
                     )
                 }
             }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
@@ -24,8 +24,9 @@
 
 /** Callbacks for messages from control replicas; they must not block. */
 data class ReplicaMessageHandlers(
-    val onNews: (FleetNews) -> Unit,
+    val onNews: (peer: String, news: FleetNews) -> Unit,
     val onPresenceFrame: (peer: String, frame: PeerFrame) -> Unit,
+    val onFollowedChanged: (previous: String?, followed: String?) -> Unit,
 )
 
 /** Connections of this process to the control replicas, or to the seeds while no replica is known. */
@@ -73,7 +74,8 @@
         val connected = connectedReplicas().toSet()
         val others = connected - presence.name
         val followed = followedReplicaSelector.select(ReplicaCandidates(others.ifEmpty { connected }, inZone, now()))
-        lastFollowed.set(followed)
+        val previous = lastFollowed.getAndSet(followed)
+        if (previous != followed) handlers.onFollowedChanged(previous, followed)
         val isFollowedHeard = followedReplica != null
         val report = PresenceReport(knownReplicas.get(), followed, isFollowedHeard, presence.ready)
         presenceReceivers.select(report).forEach { peer ->
@@ -142,7 +144,7 @@
     private fun receive(peer: String, frame: PeerFrame) {
         frame.fleetNews?.let { news ->
             followedReplicaSelector.recordUpdate(peer, news.hearsLeader, now())
-            handlers.onNews(news)
+            handlers.onNews(peer, news)
         }
         when (frame.kind) {
             PeerFrameKind.PRESENCE -> handlers.onPresenceFrame(peer, frame)
