Move what decides the updates of entry VMs into the decision library

Cause: which control replica an entry VM follows, where it reports and what a report is answered with stood in classes of the daemon, so no random history could reach it. Change: ReplicaFollowing at the entry VM and EntryUpdates at the control replica, with the code as it was; the digest of a configuration moves beside them. No behaviour changes. Measured: the tests of the publisher, the selection and the repairs pass.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ConfigurationHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/control/ConfigurationHandler.kt
@@ -7,9 +7,9 @@
 import cassiaspindle.daemon.relay.fleet.FleetState
 import cassiaspindle.daemon.relay.fleet.MAXIMUM_CONFIGURATION_BYTES
 import cassiaspindle.daemon.relay.fleet.SubmissionResult
-import cassiaspindle.daemon.relay.fleet.contentDigestOf
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.daemon.relay.protocol.OperatorProtocol
+import cassiaspindle.relay.configuration.contentDigestOf
 import cassiaspindle.relay.configuration.validateConfiguration
 import cassiaspindle.schema.ControlCommand
 import cassiaspindle.schema.ControlCommandKind
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -1,9 +1,10 @@
 package cassiaspindle.daemon.relay.fleet
 
 import cassiaspindle.daemon.relay.log.EventLog
-import cassiaspindle.relay.fleet.EntryRepairTable
+import cassiaspindle.relay.fleet.EntryUpdate
+import cassiaspindle.relay.fleet.EntryUpdates
 import cassiaspindle.relay.fleet.PresenceTable
-import cassiaspindle.relay.fleet.RepairClaim
+import cassiaspindle.relay.fleet.ReplicaKnowledge
 import cassiaspindle.relay.fleet.isUsable
 import cassiaspindle.schema.CrashEvidence
 import cassiaspindle.schema.EntryPresence
@@ -50,11 +51,10 @@
  */
 class FleetPublisher(private val fleetState: FleetState, private val environment: FleetPublisherEnvironment) {
     private val presences = PresenceTable(PRESENCE_LEASE_MILLISECONDS)
-    private val repairs = EntryRepairTable()
+    private val updates = EntryUpdates()
     private val followers = ConcurrentHashMap<String, FrameSender>()
     private val fleetRelay = FleetRelay(environment.relay)
     private val isEntryListChanged = AtomicBoolean()
-    private val configurationDigests = ConfigurationDigestCache()
 
     init {
         fleetState.addRunnerListener { publish(FleetNews(runners = listOf(it))) }
@@ -72,30 +72,32 @@
         } else {
             followers -= presence.name
         }
-        val missingConfiguration = environment.configuration()?.takeIf { configurationDigests.isMissing(it, presence) }
-        val fleetDigest = fleetDigestOf(fleetState.runners.digest(), presences.live().digest)
-        val differs = missingConfiguration != null || (presence.follows && presence.fleetDigest != fleetDigest)
-        val isResponsible = presence.follows || environment.isLeader()
-        val repair = if (isResponsible) repairs.claimRepair(presence, differs, environment.now()) else null
-        val isRepairDue = repair?.isDue ?: false
-        val news = when {
-            isRepairDue -> completeNews().copy(configuration = missingConfiguration)
-            presence.follows -> FleetNews()
-            else -> null
+        val update = updates.answer(presence, knowledge(), environment.now())
+        val news = if (update.isFleetIncluded) completeNews() else FleetNews()
+        if (update.isAnswered) {
+            send(frameOf(environment.suspicions.complete(news.copy(configuration = update.configuration), presence)))
         }
-        news?.let { send(frameOf(environment.suspicions.complete(it, presence))) }
-        if (repair != null && missingConfiguration != null) logRepair(presence, missingConfiguration, repair)
+        logMissing(presence, update)
     }
 
-    private fun logRepair(presence: EntryPresence, missing: StoredConfiguration, repair: RepairClaim) =
+    private fun knowledge() = ReplicaKnowledge(
+        configuration = environment.configuration(),
+        fleetDigest = fleetDigestOf(fleetState.runners.digest(), presences.live().digest),
+        isLeader = environment.isLeader(),
+    )
+
+    private fun logMissing(presence: EntryPresence, update: EntryUpdate) {
+        val missing = update.missingConfiguration ?: return
+        val repair = update.repair ?: return
         environment.log.write(
-            if (repair.isDue) "configuration_repaired" else "configuration_repair_waits",
+            if (update.configuration != null) "configuration_repaired" else "configuration_repair_waits",
             "entry" to presence.name,
             "held" to presence.configurationVersion,
             "missing" to missing.version,
             "differs_ms" to repair.differsMilliseconds,
             "since_repair_ms" to repair.sinceRepairMilliseconds,
         )
+    }
 
     /** Handles what an entry VM has learnt from crashes. */
     fun receiveEvidence(evidence: CrashEvidence) = environment.suspicions.receive(evidence, ::publish)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetState.kt
@@ -5,6 +5,7 @@
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.relay.configuration.ActiveConfiguration
 import cassiaspindle.relay.configuration.RouteTable
+import cassiaspindle.relay.configuration.contentDigestOf
 import cassiaspindle.relay.crash.ContentGuard
 import cassiaspindle.relay.fleet.EntryList
 import cassiaspindle.relay.fleet.RunnerTable
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
@@ -1,9 +1,7 @@
 package cassiaspindle.daemon.relay.fleet
 
-import cassiaspindle.relay.fleet.FollowedReplicaSelector
-import cassiaspindle.relay.fleet.PresenceReceivers
-import cassiaspindle.relay.fleet.PresenceReport
-import cassiaspindle.relay.fleet.ReplicaCandidates
+import cassiaspindle.relay.fleet.ReplicaFollowing
+import cassiaspindle.relay.fleet.ReportState
 import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.FleetNews
 import cassiaspindle.schema.PeerFrame
@@ -40,8 +38,7 @@
     private val connections = ConcurrentHashMap<String, Connection>()
     private val pendingReplies = PendingReplies()
     private val knownReplicas = AtomicReference<Set<String>>(emptySet())
-    private val followedReplicaSelector = FollowedReplicaSelector(settings.name)
-    private val presenceReceivers = PresenceReceivers()
+    private val following = ReplicaFollowing(settings.name)
     private val lastFollowed = AtomicReference<String?>(null)
 
     /** Peer addresses of the known control replicas. */
@@ -71,22 +68,19 @@
      * receive news.
      */
     fun sendPresence(presence: EntryPresence, inZone: Set<String>) {
-        val connected = connectedReplicas().toSet()
-        val others = connected - presence.name
-        val followed = followedReplicaSelector.select(ReplicaCandidates(others.ifEmpty { connected }, inZone, now()))
-        val previous = lastFollowed.getAndSet(followed)
-        if (previous != followed) handlers.onFollowedChanged(previous, followed)
-        val isFollowedHeard = followedReplica != null
-        val report = PresenceReport(knownReplicas.get(), followed, isFollowedHeard, presence.ready)
-        presenceReceivers.select(report).forEach { peer ->
-            val sent = presence.copy(follows = peer == followed)
+        val plan = following.planReport(
+            ReportState(knownReplicas.get(), connectedReplicas().toSet(), inZone, presence.ready, now()),
+        )
+        val previous = lastFollowed.getAndSet(plan.followed)
+        if (previous != plan.followed) handlers.onFollowedChanged(previous, plan.followed)
+        plan.receivers.forEach { peer ->
+            val sent = presence.copy(follows = peer == plan.followed)
             send(peer, PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = sent))
         }
     }
 
     /** The control replica that this entry VM follows; null while that one does not reply or has no leader. */
-    val followedReplica: String?
-        get() = lastFollowed.get()?.takeIf { followedReplicaSelector.isHeard(it, now()) }
+    val followedReplica: String? get() = following.followedReplica(now())
 
     /**
      * Sends [notice] to the control replicas [receivers]. Returns the number of acknowledgements, once there are
@@ -143,7 +137,7 @@
 
     private fun receive(peer: String, frame: PeerFrame) {
         frame.fleetNews?.let { news ->
-            followedReplicaSelector.recordUpdate(peer, news.hearsLeader, now())
+            following.recordUpdate(peer, news, now())
             handlers.onNews(peer, news)
         }
         when (frame.kind) {
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
@@ -3,6 +3,7 @@
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.relay.configuration.contentDigestOf
 import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.FleetNews
 import cassiaspindle.schema.RunnerNotice
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ConfigurationDigest.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/configuration/ConfigurationDigest.kt
@@ -1,4 +1,4 @@
-package cassiaspindle.daemon.relay.fleet
+package cassiaspindle.relay.configuration
 
 import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.StoredConfiguration
@@ -7,13 +7,13 @@
 import java.util.concurrent.atomic.AtomicReference
 
 /** A digest of the content of [configuration]; equal contents have equal digests, and it is never 0. */
-internal fun contentDigestOf(configuration: StoredConfiguration): Long {
+fun contentDigestOf(configuration: StoredConfiguration): Long {
     val digest = MessageDigest.getInstance("SHA-256").digest(configuration.content.encodeToByteArray())
     return ByteBuffer.wrap(digest).long.takeIf { it != 0L } ?: 1
 }
 
 /** Remembers the digest of the configuration at hand, which is compared far more often than it changes. */
-internal class ConfigurationDigestCache {
+class ConfigurationDigestCache {
     private val cached = AtomicReference<CachedDigest?>(null)
 
     /** Whether the entry VM of [presence] lacks [stored]; an older process does not report a digest of its content. */
