Let an entry VM leave a control replica that has lost its leader

Callers saw 404 on a route that had been added 2.75 s before. Cause: a replica without a leader in the zone of the entry VM ranked before those of other zones that the entry VM had not followed lately, and these were never asked; so it stayed until the leader repaired it. Class of fault: what is not known is taken for worse than what is known to be bad. Change: an entry VM whose followed replica is not in contact with a leader asks all replicas, which answer at once; one that has not answered yet ranks before one without a leader. Measured: the new case of FollowedReplicaSelectorTest failed before.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
@@ -74,7 +74,7 @@
         val previous = lastFollowed.getAndSet(plan.followed)
         if (previous != plan.followed) handlers.onFollowedChanged(previous, plan.followed)
         plan.receivers.forEach { peer ->
-            val sent = presence.copy(follows = peer == plan.followed)
+            val sent = presence.copy(follows = peer == plan.followed, asks = plan.isAsking)
             send(peer, PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = sent))
         }
     }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
@@ -40,7 +40,7 @@
         val repair = if (isResponsible) repairs.claimRepair(presence, differs, nowMilliseconds) else null
         val isRepairDue = repair?.isDue ?: false
         return EntryUpdate(
-            isAnswered = isRepairDue || presence.follows,
+            isAnswered = isRepairDue || presence.follows || presence.asks,
             isFleetIncluded = isRepairDue,
             configuration = missing.takeIf { isRepairDue },
             missingConfiguration = missing,
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/FollowedReplicaSelector.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/FollowedReplicaSelector.kt
@@ -52,7 +52,7 @@
     /** A pseudorandom rank that is the same each time, so that the choice is stable. */
     private fun rank(peer: String): Int = Random("$self/$peer".hashCode()).nextInt()
 
-    /** Lower is better. A replica never followed ranks like one without a leader, and before one that is silent. */
+    /** Lower is better. A replica that has not answered yet ranks before one without a leader or a silent one. */
     private fun penalty(lastUpdate: LastUpdate?, isInZone: Boolean, nowMilliseconds: Long): Int {
         val zonePenalty = if (isInZone) 0 else 1
         return when {
@@ -60,7 +60,7 @@
             nowMilliseconds - lastUpdate.receivedMilliseconds > SILENCE_TIMEOUT_MILLISECONDS ->
                 SILENT_PENALTY + zonePenalty
             lastUpdate.hearsLeader -> zonePenalty
-            else -> UNTRIED_PENALTY + zonePenalty
+            else -> LEADERLESS_PENALTY + zonePenalty
         }
     }
 
@@ -72,6 +72,7 @@
 
     private companion object {
         const val UNTRIED_PENALTY = 2
-        const val SILENT_PENALTY = 4
+        const val LEADERLESS_PENALTY = 4
+        const val SILENT_PENALTY = 6
     }
 }
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/PresenceTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/PresenceTable.kt
@@ -48,5 +48,11 @@
 }
 
 /** The presence as published to others: the fields that change often are cleared. */
-internal fun EntryPresence.withoutVolatileFields(): EntryPresence =
-    copy(configurationVersion = 0, configurationDigest = 0, fleetDigest = 0, follows = false, suspicionDigest = 0)
+internal fun EntryPresence.withoutVolatileFields(): EntryPresence = copy(
+    configurationVersion = 0,
+    configurationDigest = 0,
+    fleetDigest = 0,
+    follows = false,
+    suspicionDigest = 0,
+    asks = false,
+)
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/ReplicaFollowing.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/ReplicaFollowing.kt
@@ -22,6 +22,8 @@
     val followed: String?,
     /** Peer addresses of the control replicas that receive the report. */
     val receivers: Set<String>,
+    /** Whether all receivers are to answer, so that the next report goes to one that has contact with a leader. */
+    val isAsking: Boolean,
 )
 
 /** Decides at an entry VM which control replica it follows and which ones receive its presence reports. */
@@ -38,7 +40,7 @@
         lastFollowed.set(followed)
         val isFollowedHeard = followedReplica(state.nowMilliseconds) != null
         val report = PresenceReport(state.replicas, followed, isFollowedHeard, state.isReady)
-        return ReportPlan(followed, presenceReceivers.select(report))
+        return ReportPlan(followed, presenceReceivers.select(report), isAsking = !isFollowedHeard)
     }
 
     /** Records the update [news] from the control replica [peer]. */
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/fleet/FollowedReplicaSelectorTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/fleet/FollowedReplicaSelectorTest.kt
@@ -39,6 +39,15 @@
         selector.select(candidates(200)) shouldBe "c:1"
     }
 
+    /** Guards against issue 41: a replica that was cut off was followed for 1.6 s after it had lost its leader. */
+    @Test
+    fun `a replica in the same zone without a leader is left for one in another zone that has not answered yet`() {
+        val selector = FollowedReplicaSelector("self:1")
+        selector.select(candidates(0)) shouldBe "b:1"
+        selector.recordUpdate("b:1", hearsLeader = false, 100)
+        selector.select(candidates(200)) shouldNotBe "b:1"
+    }
+
     @Test
     fun `without a replica in their zone, entry VMs are distributed evenly over the replicas`() {
         val counts = (1..300)
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessSimulation.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessSimulation.kt
@@ -23,6 +23,9 @@
 private const val RELAY_MILLISECONDS = 500L
 private const val DISRUPTIONS = 24
 private const val ENTRIES = 6
+
+/** Each availability zone has one control replica at least. */
+private const val ZONES = 3
 private const val MAXIMUM_TOLERATED_LOSSES = 2
 
 /** Result of one simulation. */
@@ -53,7 +56,7 @@
     )
     private val oracle = FreshnessOracle()
     private val links = EntryLinks(schedule, random)
-    private val entries = List(ENTRIES) { SimulatedEntry("entry-$it") }
+    private val entries = List(ENTRIES) { SimulatedEntry("entry-$it", setOf("control-${it % ZONES}")) }
     private val publishers = mutableMapOf<String, SimulatedPublisher>()
     private val disruptions =
         FreshnessDisruptions(DisruptionTargets(core, entries, links, oracle), schedule, random)
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedEntry.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedEntry.kt
@@ -6,7 +6,7 @@
 import cassiaspindle.schema.FleetNews
 
 /** An entry VM that reports its presence to control replicas and applies their configurations. */
-internal class SimulatedEntry(val name: String) {
+internal class SimulatedEntry(val name: String, private val replicasInZone: Set<String>) {
     private var incarnation = 1L
     private var following = ReplicaFollowing(name)
 
@@ -23,7 +23,7 @@
 
     /** The presence reports that are due, by the control replica that receives each. */
     fun report(replicas: Set<String>, connected: Set<String>, nowMilliseconds: Long): Map<String, EntryPresence> {
-        val plan = following.planReport(ReportState(replicas, connected, emptySet(), version > 0, nowMilliseconds))
+        val plan = following.planReport(ReportState(replicas, connected, replicasInZone, version > 0, nowMilliseconds))
         val presence = EntryPresence(
             name,
             incarnation,
@@ -32,7 +32,7 @@
             ready = version > 0,
             configurationVersion = version,
         )
-        return plan.receivers.associateWith { presence.copy(follows = it == plan.followed) }
+        return plan.receivers.associateWith { presence.copy(follows = it == plan.followed, asks = plan.isAsking) }
     }
 
     /** Applies [news] from the control replica [replica]. */
