Send an entry VM a configuration that it was not sent, with its next report

Callers saw the older configuration for up to 2.2 s longer. Cause: a control replica answered an entry VM that lacked the configuration as if the update were in transit: after 0.9 s of difference, and not within 1.5 s of its last repair, though that repair had held an older version, or the update had been refused by a full connection. Class of fault: a limit on how often something is sent, kept for the receiver instead of for what it was sent. Change: the replica remembers which configuration it sent over which connection; another one, or one over another connection, goes out at once.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaFrameHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaFrameHandler.kt
@@ -2,6 +2,7 @@
 
 import cassiaspindle.daemon.relay.control.LocalReplica
 import cassiaspindle.daemon.relay.fleet.FleetPublisher
+import cassiaspindle.daemon.relay.fleet.ReportConnection
 import cassiaspindle.schema.CommandOutcome
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.PeerFrameKind
@@ -25,7 +26,8 @@
 
     private fun handleAtReplica(replica: LocalReplica, connection: PeerConnection, frame: PeerFrame) {
         frame.replication?.let(replica.driver::receive)
-        frame.entryPresence?.let { publisher.receiveEntryPresence(it, connection::sendShared) }
+        val reportConnection = ReportConnection(connection.number, connection::sendShared)
+        frame.entryPresence?.let { publisher.receiveEntryPresence(it, reportConnection) }
         frame.fleetNews?.let(publisher::receiveRelay)
         frame.crashEvidence?.let(publisher::receiveEvidence)
         frame.runnerNotice?.let {
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.daemon.relay.fleet
 
 import cassiaspindle.daemon.relay.log.EventLog
+import cassiaspindle.relay.fleet.EntryReceiver
 import cassiaspindle.relay.fleet.EntryUpdate
 import cassiaspindle.relay.fleet.EntryUpdates
 import cassiaspindle.relay.fleet.PresenceTable
@@ -27,6 +28,13 @@
 /** Queues a frame for one entry VM; returns false if its connection is closed or too slow. */
 typealias FrameSender = (OutgoingFrame) -> Boolean
 
+/** The connection over which an entry VM reports and receives updates. */
+data class ReportConnection(
+    /** Differs from that of every other connection of this process. */
+    val number: Long,
+    val send: FrameSender,
+)
+
 /** Dependencies of [FleetPublisher]. */
 data class FleetPublisherEnvironment(
     val now: () -> Long,
@@ -52,7 +60,7 @@
 class FleetPublisher(private val fleetState: FleetState, private val environment: FleetPublisherEnvironment) {
     private val presences = PresenceTable(PRESENCE_LEASE_MILLISECONDS)
     private val updates = EntryUpdates()
-    private val followers = ConcurrentHashMap<String, FrameSender>()
+    private val followers = ConcurrentHashMap<String, ReportConnection>()
     private val fleetRelay = FleetRelay(environment.relay)
     private val isEntryListChanged = AtomicBoolean()
 
@@ -62,20 +70,22 @@
 
     /**
      * Handles the presence report of an entry VM. Replies with the whole fleet if a repair is due, else with empty news
-     * to a follower; later news to a follower goes over [send] too.
+     * to a follower; later news to a follower goes over [connection] too.
      */
-    fun receiveEntryPresence(presence: EntryPresence, send: FrameSender) {
+    fun receiveEntryPresence(presence: EntryPresence, connection: ReportConnection) {
         if (presences.offer(presence, environment.now())) isEntryListChanged.set(true)
         if (presence.follows) {
-            followers[presence.name] = send
+            followers[presence.name] = connection
             fleetRelay.add(presence)
         } else {
             followers -= presence.name
         }
-        val update = updates.answer(presence, knowledge(), environment.now())
+        val update = updates.answer(presence, connection.number, knowledge(), environment.now())
         val news = if (update.isFleetIncluded) completeNews() else FleetNews()
         if (update.isAnswered) {
-            send(frameOf(environment.suspicions.complete(news.copy(configuration = update.configuration), presence)))
+            val answer = environment.suspicions.complete(news.copy(configuration = update.configuration), presence)
+            val isSent = connection.send(frameOf(answer))
+            if (!isSent) updates.recordLost(EntryReceiver(presence.name, connection.number))
         }
         logMissing(presence, update)
     }
@@ -88,14 +98,15 @@
 
     private fun logMissing(presence: EntryPresence, update: EntryUpdate) {
         val missing = update.missingConfiguration ?: return
-        val repair = update.repair ?: return
+        val repair = update.repair
+        if (update.configuration == null && !presence.follows) return
         environment.log.write(
             if (update.configuration != null) "configuration_repaired" else "configuration_repair_waits",
             "entry" to presence.name,
             "held" to presence.configurationVersion,
             "missing" to missing.version,
-            "differs_ms" to repair.differsMilliseconds,
-            "since_repair_ms" to repair.sinceRepairMilliseconds,
+            "differs_ms" to repair?.differsMilliseconds,
+            "since_repair_ms" to repair?.sinceRepairMilliseconds,
         )
     }
 
@@ -130,6 +141,9 @@
     fun publishConfiguration(stored: StoredConfiguration) {
         fleetState.applyConfiguration(stored)
         publish(FleetNews(configuration = stored))
+        followers.forEach { (name, connection) ->
+            updates.recordPublished(EntryReceiver(name, connection.number), stored, environment.now())
+        }
     }
 
     /** Publishes the backend servers that fell silent, and the list of entry VMs if it changed. */
@@ -153,7 +167,7 @@
 
     private fun publish(news: FleetNews) {
         val frame = frameOf(news)
-        val dropped = followers.filterValues { send -> !send(frame) }.keys
+        val dropped = followers.filterValues { !it.send(frame) }.keys
         followers -= dropped
         dropped.forEach { environment.log.write("follower_dropped", "entry" to it) }
     }
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
@@ -63,10 +63,11 @@
     private fun reportPresence(entry: Int, follows: Boolean, isOpen: Boolean = true) {
         val name = "entry-$entry"
         val presence = EntryPresence(name, incarnation = 1, "a", "c:$entry", ready = true, follows = follows)
-        publisher.receiveEntryPresence(presence) { outgoing ->
+        val connection = ReportConnection(entry.toLong()) { outgoing ->
             if (isOpen) outgoing.frame.fleetNews?.let { received.getOrPut(name) { mutableListOf() } += it }
             isOpen
         }
+        publisher.receiveEntryPresence(presence, connection)
     }
 
     @Test
@@ -112,6 +113,42 @@
         received.getValue("entry-1").mapNotNull(FleetNews::configuration).size shouldBe 1
     }
 
+    /** Guards against issue 41: an earlier repair delayed the next one, though it had not held this configuration. */
+    @Test
+    fun `a follower that was repaired shortly before receives a newer configuration with its next report`() {
+        reportPresence(1, follows = true)
+        configuration = StoredConfiguration(3, "text")
+        now = 900
+        reportPresence(1, follows = true)
+        reportPresence(1, follows = false)
+        configuration = StoredConfiguration(4, "next")
+        now = 1_300
+        reportPresence(1, follows = true)
+        received.getValue("entry-1").mapNotNull(FleetNews::configuration).map { it.version } shouldBe listOf(3L, 4L)
+    }
+
+    /** Guards against issue 41: a follower whose connection was full waited as if it had received the update. */
+    @Test
+    fun `a follower whose connection was full receives the configuration with its next report`() {
+        reportPresence(1, follows = true)
+        reportPresence(1, follows = true, isOpen = false)
+        configuration = StoredConfiguration(3, "text").also(publisher::publishConfiguration)
+        now = 100
+        reportPresence(1, follows = true)
+        received.getValue("entry-1").mapNotNull(FleetNews::configuration).map { it.version } shouldBe listOf(3L)
+    }
+
+    @Test
+    fun `a configuration that is in transit to a follower is not sent again`() {
+        reportPresence(1, follows = true)
+        configuration = StoredConfiguration(3, "text").also(publisher::publishConfiguration)
+        (100L..800L step 100).forEach { time ->
+            now = time
+            reportPresence(1, follows = true)
+        }
+        received.getValue("entry-1").mapNotNull(FleetNews::configuration).map { it.version } shouldBe listOf(3L)
+    }
+
     /** Guards against review case 3: only versions were compared, so that other content was never repaired. */
     @Test
     fun `a follower that holds other content under the stored version receives the stored one`() {
@@ -122,7 +159,8 @@
         val sent = digests.map { digest ->
             val news = mutableListOf<FleetNews>()
             val reported = presence.copy(name = "entry-$digest", configurationDigest = digest)
-            publisher.receiveEntryPresence(reported) { news.addAll(listOfNotNull(it.frame.fleetNews)) }
+            val connection = ReportConnection(1) { news.addAll(listOfNotNull(it.frame.fleetNews)) }
+            publisher.receiveEntryPresence(reported, connection)
             news.mapNotNull(FleetNews::configuration)
         }
         sent shouldBe listOf(emptyList(), emptyList(), listOf(stored))
@@ -177,12 +215,13 @@
             relayed.forEach(other::receiveRelay)
             framesToOther += relayed.size
             relayed.clear()
-            other.receiveEntryPresence(follower) { frame ->
+            val connection = ReportConnection(1) { frame ->
                 frame.frame.fleetNews?.takeIf { it.presencesKnown }?.let { news ->
                     listed += news.entryPresences.map(EntryPresence::name)
                 }
                 true
             }
+            other.receiveEntryPresence(follower, connection)
             other.tick()
         }
         framesToOther shouldBe 4
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
@@ -4,6 +4,9 @@
 import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.StoredConfiguration
 
+/** An entry VM, and the connection over which it receives updates; a process numbers its connections. */
+data class EntryReceiver(val name: String, val connection: Long)
+
 /** What a control replica knows when an entry VM reports. */
 data class ReplicaKnowledge(
     /** The newest configuration that it has applied, or null. */
@@ -27,24 +30,51 @@
     val repair: RepairClaim?,
 )
 
-/** Decides at a control replica what the entry VMs that report to it receive. */
-class EntryUpdates {
+/**
+ * Decides at a control replica what the entry VMs that report to it receive.
+ *
+ * One that follows this replica or asks receives a configuration that it lacks with its next report, unless that
+ * configuration is in transit to it. One that follows another replica receives it from the leader if it lacks it for
+ * long. The rest of the state is repaired only if it differs for long.
+ */
+class EntryUpdates(resendMilliseconds: Long = RESEND_MILLISECONDS) {
     private val repairs = EntryRepairTable()
+    private val sentConfigurations = SentConfigurations(resendMilliseconds)
     private val configurationDigests = ConfigurationDigestCache()
 
-    /** Decides what the entry VM of [presence] receives. */
-    fun answer(presence: EntryPresence, knowledge: ReplicaKnowledge, nowMilliseconds: Long): EntryUpdate {
+    /** Decides what the entry VM of [presence], reported over the connection number [connection], receives. */
+    fun answer(
+        presence: EntryPresence,
+        connection: Long,
+        knowledge: ReplicaKnowledge,
+        nowMilliseconds: Long,
+    ): EntryUpdate {
+        val receiver = EntryReceiver(presence.name, connection)
         val missing = knowledge.configuration?.takeIf { configurationDigests.isMissing(it, presence) }
-        val differs = missing != null || (presence.follows && presence.fleetDigest != knowledge.fleetDigest)
+        val isRequester = presence.follows || presence.asks
+        val differs = if (isRequester) presence.follows && isFleetOther(presence, knowledge) else missing != null
         val isResponsible = presence.follows || knowledge.isLeader
         val repair = if (isResponsible) repairs.claimRepair(presence, differs, nowMilliseconds) else null
         val isRepairDue = repair?.isDue ?: false
+        val sent = missing?.takeIf {
+            (isRequester && sentConfigurations.claim(receiver, it, nowMilliseconds)) || (!isRequester && isRepairDue)
+        }
         return EntryUpdate(
-            isAnswered = isRepairDue || presence.follows || presence.asks,
+            isAnswered = isRepairDue || isRequester,
             isFleetIncluded = isRepairDue,
-            configuration = missing.takeIf { isRepairDue },
+            configuration = sent,
             missingConfiguration = missing,
             repair = repair,
         )
     }
+
+    /** Records that [configuration] was published to [receiver]. */
+    fun recordPublished(receiver: EntryReceiver, configuration: StoredConfiguration, nowMilliseconds: Long) =
+        sentConfigurations.record(receiver, configuration, nowMilliseconds)
+
+    /** Records that [receiver] was not sent its answer. */
+    fun recordLost(receiver: EntryReceiver) = sentConfigurations.forget(receiver)
+
+    private fun isFleetOther(presence: EntryPresence, knowledge: ReplicaKnowledge) =
+        presence.fleetDigest != knowledge.fleetDigest
 }
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/EntryLinks.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/EntryLinks.kt
@@ -16,6 +16,9 @@
     private val full = mutableSetOf<EntryLink>()
     private val arrivals = mutableMapOf<EntryLink, Long>()
 
+    /** Number of the connection over [link]; each one after a closing has another. */
+    fun connectionOf(link: EntryLink): Long = closings.getOrDefault(link, 0).toLong()
+
     /** Whether [link] is open. */
     fun isOpen(link: EntryLink): Boolean = link !in closed
 
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessDisruptions.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessDisruptions.kt
@@ -31,17 +31,18 @@
     var coreDisruptions = 0
         private set
 
-    /** All kinds of disruptions. */
+    /** Disruptions after which a while passes until the rule is asked again. */
     val kinds: List<() -> Unit> = listOf(
         { disruptCore { cut(it, network::cutIncoming) } },
         { disruptCore { cut(it, network::cutOutgoing) } },
         { disruptCore { cut(it, network::isolate) } },
         { disruptCore(::kill) },
         ::restartEntry,
-        ::closeLink,
-        ::fillLink,
     )
 
+    /** Disruptions of single connections, which excuse nobody. */
+    val connectionKinds: List<() -> Unit> = listOf(::closeLink, ::fillLink)
+
     private fun disruptCore(disrupt: (name: String) -> Unit) {
         if (disrupted != null) return
         val name = targets.core.machines.all.random(random).name
@@ -81,7 +82,6 @@
         entry.restart()
     }
 
-    /** A connection may close and fill at any time; that excuses nobody. */
     private fun closeLink() = targets.links.close(anyLink(), random.nextLong(1, MAXIMUM_CLOSED_MILLISECONDS))
 
     private fun fillLink() = targets.links.fill(anyLink(), random.nextLong(1, MAXIMUM_FULL_MILLISECONDS))
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessFaults.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessFaults.kt
@@ -1,9 +1,7 @@
 package cassiaspindle.history.freshness
 
-import cassiaspindle.relay.fleet.EntryUpdates
-
-/** Points where a test can inject an implementation fault, as function types; the defaults are correct. */
+/** Points where a test can inject an implementation fault; the defaults are correct. */
 data class FreshnessFaults(
-    /** Creates what decides at a control replica on the updates of entry VMs. */
-    val newEntryUpdates: () -> EntryUpdates = { EntryUpdates() },
+    /** Time after an answer with a configuration in which a control replica sends that entry VM no other one. */
+    val repairIntervalMilliseconds: Long = 0,
 )
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessSimulation.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessSimulation.kt
@@ -21,7 +21,8 @@
 private const val MAXIMUM_SUBMISSION_MILLISECONDS = 1_500L
 private const val REPORT_MILLISECONDS = 400L
 private const val RELAY_MILLISECONDS = 500L
-private const val DISRUPTIONS = 24
+private const val DISRUPTIONS = 20
+private const val CONNECTION_DISRUPTIONS = 150
 private const val ENTRIES = 6
 
 /** Each availability zone has one control replica at least. */
@@ -69,9 +70,8 @@
         machines.found(now)
         entries.forEach { entry -> queue.add(random.nextLong(REPORT_MILLISECONDS)) { report(entry) } }
         queue.add(FOUNDING_MILLISECONDS) { submitNext() }
-        repeat(DISRUPTIONS) {
-            queue.add(random.nextLong(FOUNDING_MILLISECONDS, DURATION_MILLISECONDS), disruptions.kinds.random(random))
-        }
+        repeat(DISRUPTIONS) { addDisruption(disruptions.kinds) }
+        repeat(CONNECTION_DISRUPTIONS) { addDisruption(disruptions.connectionKinds) }
         while (now < DURATION_MILLISECONDS && oracle.violation == null) runRound()
         return FreshnessSimulationResult(
             seed,
@@ -82,12 +82,15 @@
         )
     }
 
+    private fun addDisruption(kinds: List<() -> Unit>) =
+        queue.add(random.nextLong(FOUNDING_MILLISECONDS, DURATION_MILLISECONDS), kinds.random(random))
+
     private fun runRound() {
         now += ROUND_MILLISECONDS
         generateSequence { queue.poll(now) }.forEach { it.action() }
         core.runRound(now).forEach { recordAnswer(it.ticket, it.outcome.code) }
         machines.all.forEach { machine ->
-            machine.controlReplica?.let { publisherOf(machine.name).publishNew(it) }
+            machine.controlReplica?.let { publisherOf(machine.name).publishNew(it, machine.now(now)) }
         }
         if (now % RELAY_MILLISECONDS == 0L) relayFollowers()
         entries.forEach { oracle.check(it, now) }
@@ -122,7 +125,8 @@
     }
 
     private fun publisherOf(replica: String): SimulatedPublisher = publishers.getOrPut(replica) {
-        SimulatedPublisher(faults.newEntryUpdates()) { entry, news -> sendUpdate(replica, entry, news) }
+        val connectionOf = { entry: String -> links.connectionOf(EntryLink(entry, replica)) }
+        SimulatedPublisher(faults, connectionOf) { entry, news -> sendUpdate(replica, entry, news) }
     }
 
     private fun sendUpdate(replica: String, name: String, news: FleetNews): Boolean {
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedPublisher.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedPublisher.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.history.freshness
 
 import cassiaspindle.control.group.ControlReplica
+import cassiaspindle.relay.fleet.EntryReceiver
 import cassiaspindle.relay.fleet.EntryUpdates
 import cassiaspindle.relay.fleet.ReplicaKnowledge
 import cassiaspindle.schema.EntryPresence
@@ -10,8 +11,14 @@
 internal typealias UpdateSender = (entry: String, news: FleetNews) -> Boolean
 
 /** What one process with a control replica publishes to the entry VMs that follow it. */
-internal class SimulatedPublisher(private val updates: EntryUpdates, private val send: UpdateSender) {
+internal class SimulatedPublisher(
+    private val faults: FreshnessFaults,
+    private val connectionOf: (entry: String) -> Long,
+    private val send: UpdateSender,
+) {
+    private val updates = EntryUpdates()
     private val followers = mutableSetOf<String>()
+    private val repairs = mutableMapOf<String, Long>()
     private var publishedVersion = 0L
 
     /** The entry VMs that follow this replica. */
@@ -26,17 +33,26 @@
     fun receive(presence: EntryPresence, replica: ControlReplica, nowMilliseconds: Long) {
         if (presence.follows) followers += presence.name else followers -= presence.name
         val knowledge = ReplicaKnowledge(replica.reads.currentConfiguration(), 0, replica.reads.isLeader())
-        val update = updates.answer(presence, knowledge, nowMilliseconds)
-        if (update.isAnswered) send(presence.name, newsOf(replica).copy(configuration = update.configuration))
+        val update = updates.answer(presence, connectionOf(presence.name), knowledge, nowMilliseconds)
+        val configuration = update.configuration?.takeIf { isRepairDue(presence.name, nowMilliseconds) }
+        if (configuration != null) repairs[presence.name] = nowMilliseconds
+        val isLost = update.isAnswered && !send(presence.name, newsOf(replica).copy(configuration = configuration))
+        if (isLost || configuration != update.configuration) updates.recordLost(receiverOf(presence.name))
     }
 
     /** Publishes the configuration of [replica] if it is new. */
-    fun publishNew(replica: ControlReplica) {
+    fun publishNew(replica: ControlReplica, nowMilliseconds: Long) {
         val configuration = replica.reads.currentConfiguration() ?: return
         if (configuration.version <= publishedVersion) return
         publishedVersion = configuration.version
         followers.removeIf { !send(it, newsOf(replica).copy(configuration = configuration)) }
+        followers.forEach { updates.recordPublished(receiverOf(it), configuration, nowMilliseconds) }
     }
 
+    private fun isRepairDue(entry: String, nowMilliseconds: Long): Boolean =
+        repairs[entry]?.let { nowMilliseconds - it >= faults.repairIntervalMilliseconds } ?: true
+
+    private fun receiverOf(entry: String) = EntryReceiver(entry, connectionOf(entry))
+
     private fun newsOf(replica: ControlReplica) = FleetNews(hearsLeader = replica.documentGroupStatus().leader != null)
 }
--- a/history/src/test/kotlin/cassiaspindle/history/freshness/FreshnessSimulationTest.kt
+++ b/history/src/test/kotlin/cassiaspindle/history/freshness/FreshnessSimulationTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.nulls.shouldNotBeNull
 
 /** Guards against issue 41: an entry VM in touch that uses an older configuration than one acknowledged long before. */
 class FreshnessSimulationTest : AnnotationSpec() {
@@ -16,7 +17,18 @@
         results.sumOf { it.coreDisruptions } shouldBeGreaterThan SEED_COUNT.toInt()
     }
 
+    @Test
+    fun `a repair that waits until 5 s after the last one is detected`() {
+        firstViolation(FreshnessFaults(repairIntervalMilliseconds = 5_000)).shouldNotBeNull()
+    }
+
+    private fun firstViolation(faults: FreshnessFaults): FreshnessSimulationResult? = (1L..SEED_COUNT).asSequence()
+        .map { FreshnessSimulation(it, faults).run() }
+        .firstOrNull { it.violation != null }
+        .also { println("seed=${it?.seed} violation=${it?.violation}") }
+
     private companion object {
+
         const val SEED_COUNT = 200L
         const val MINIMUM_CHECKS_PER_HISTORY = 1_000L
     }
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
@@ -18,10 +18,13 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicLong
 
 private const val QUEUE_CAPACITY_FRAMES = 4_096
 private const val FIRST_FRAME_TIMEOUT_MILLISECONDS = 1_500L
 
+private val lastNumber = AtomicLong()
+
 /** Sent on an idle connection; after the first frame of a connection, hello frames carry nothing. */
 private val ping = OutgoingFrame(PeerFrame(PeerFrameKind.HELLO))
 
@@ -40,6 +43,8 @@
     private val settings: PeerSettings,
     private val side: PeerSide,
 ) {
+    /** Differs from that of every other connection of this process. */
+    val number: Long = lastNumber.incrementAndGet()
     private val input = socket.openReadChannel()
     private val output = socket.openWriteChannel(autoFlush = false)
     private val queue = Channel<OutgoingFrame>(QUEUE_CAPACITY_FRAMES)
