Let an entry VM know how old what it knows of the configuration is

Callers saw the older configuration while the control replica that their entry VM followed was cut off. Cause: a replica that receives nothing says that it has a leader until its own election timeout, and each reply counted as proof that nothing was missed. Class of fault: a name instead of an age as evidence. Change: the leader states with each append how old its last confirmed round is; a replica keeps the time before which it has applied everything; an answer to a report carries that age and repeats when the report was sent, so that no clocks are compared. Over 1.1 s an entry VM asks all replicas; over that age a replica does not say that it has a leader. Events configuration_doubtful and configuration_confirmed, gauge cassiaspindle.configuration.age.ms. It serves on meanwhile, as the deployments ask. Planted: a replica that always claims to be current, and a repair interval of 5 s, are both found.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -86,6 +86,9 @@
             configuration = { supervisor.replica?.driver?.controlReplica?.reads?.currentConfiguration() },
             isLeader = ::isLeader,
             hasLeader = { supervisor.replica?.driver?.controlReplica?.documentGroupStatus()?.leader != null },
+            confirmedAgeMilliseconds = {
+                supervisor.replica?.driver?.let { it.controlReplica?.reads?.confirmedAge(it.now()) }
+            },
             heartbeatMilliseconds = settings.heartbeatMilliseconds,
             relay = { news ->
                 val frame = PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = news)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -127,6 +127,14 @@
             onFollowedChanged = { previous, followed ->
                 log.write("followed_replica_changed", "from" to previous, "to" to followed)
             },
+            onDoubtChanged = { isDoubtful, age ->
+                log.write(
+                    if (isDoubtful) "configuration_doubtful" else "configuration_confirmed",
+                    "version" to fleetState.configuration.version,
+                    "age_ms" to age,
+                )
+            },
+            configurationVersion = { fleetState.configuration.version },
         ),
         clock.monotonicMilliseconds,
     )
@@ -214,6 +222,9 @@
             .register(metrics.registry)
         Gauge.builder("cassiaspindle.buffers.held.bytes", bufferBudget) { it.heldBytes.toDouble() }
             .register(metrics.registry)
+        Gauge.builder("cassiaspindle.configuration.age.ms", replicaConnections) {
+            it.configurationAgeMilliseconds?.toDouble() ?: Double.NaN
+        }.register(metrics.registry)
         Gauge.builder("cassiaspindle.log.dropped", log) { it.droppedLines.toDouble() }.register(metrics.registry)
         Gauge.builder("cassiaspindle.executors.longest.wait.ms", executorMonitor) {
             it.longestDelayMilliseconds.toDouble()
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -44,6 +44,8 @@
     val isLeader: () -> Boolean,
     /** Whether the local replica is the leader or in contact with one. */
     val hasLeader: () -> Boolean,
+    /** Age of the time before which all changes are applied at the local replica, in milliseconds, or null. */
+    val confirmedAgeMilliseconds: () -> Long?,
     /** Interval between two announcements of a backend server, in milliseconds. */
     val heartbeatMilliseconds: Long,
     /** Relays news to the other replicas; must not block. */
@@ -84,7 +86,7 @@
         val news = if (update.isFleetIncluded) completeNews() else FleetNews()
         if (update.isAnswered) {
             val answer = environment.suspicions.complete(news.copy(configuration = update.configuration), presence)
-            val isSent = connection.send(frameOf(answer))
+            val isSent = connection.send(frameOf(answer, answered = presence))
             if (!isSent) updates.recordLost(EntryReceiver(presence.name, connection.number))
         }
         logMissing(presence, update)
@@ -94,6 +96,8 @@
         configuration = environment.configuration(),
         fleetDigest = fleetDigestOf(fleetState.runners.digest(), presences.live().digest),
         isLeader = environment.isLeader(),
+        hasLeader = environment.hasLeader(),
+        confirmedAgeMilliseconds = environment.confirmedAgeMilliseconds(),
     )
 
     private fun logMissing(presence: EntryPresence, update: EntryUpdate) {
@@ -172,10 +176,8 @@
         dropped.forEach { environment.log.write("follower_dropped", "entry" to it) }
     }
 
-    private fun frameOf(news: FleetNews): OutgoingFrame {
-        val stamped = news.copy(hearsLeader = environment.hasLeader())
-        return OutgoingFrame(PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = stamped))
-    }
+    private fun frameOf(news: FleetNews, answered: EntryPresence? = null) =
+        OutgoingFrame(PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = updates.stamp(news, knowledge(), answered)))
 }
 
 /** A digest of backend servers and entry VMs; equal in all processes with the same state. */
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/ReplicaConnections.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicReference
 
@@ -25,6 +26,10 @@
     val onNews: (peer: String, news: FleetNews) -> Unit,
     val onPresenceFrame: (peer: String, frame: PeerFrame) -> Unit,
     val onFollowedChanged: (previous: String?, followed: String?) -> Unit,
+    /** Called when the configuration becomes doubtful, or confirmed again; the age is in milliseconds. */
+    val onDoubtChanged: (isDoubtful: Boolean, ageMilliseconds: Long?) -> Unit,
+    /** Version of the configuration in force. */
+    val configurationVersion: () -> Long,
 )
 
 /** Connections of this process to the control replicas, or to the seeds while no replica is known. */
@@ -40,6 +45,7 @@
     private val knownReplicas = AtomicReference<Set<String>>(emptySet())
     private val following = ReplicaFollowing(settings.name)
     private val lastFollowed = AtomicReference<String?>(null)
+    private val wasAsking = AtomicBoolean()
 
     /** Peer addresses of the known control replicas. */
     val replicas: Set<String> get() = knownReplicas.get()
@@ -73,13 +79,23 @@
         )
         val previous = lastFollowed.getAndSet(plan.followed)
         if (previous != plan.followed) handlers.onFollowedChanged(previous, plan.followed)
+        if (wasAsking.getAndSet(plan.isAsking) != plan.isAsking) {
+            handlers.onDoubtChanged(plan.isAsking, configurationAgeMilliseconds)
+        }
         plan.receivers.forEach { peer ->
-            val sent = presence.copy(follows = peer == plan.followed, asks = plan.isAsking)
+            val sent = presence.copy(
+                follows = peer == plan.followed,
+                asks = plan.isAsking,
+                sentMilliseconds = now(),
+            )
             send(peer, PeerFrame(PeerFrameKind.ENTRY_PRESENCE, entryPresence = sent))
         }
     }
 
-    /** The control replica that this entry VM follows; null while that one does not reply or has no leader. */
+    /** Time since the configuration was known to be the newest, in milliseconds, or null if it never was. */
+    val configurationAgeMilliseconds: Long? get() = following.configurationAgeMilliseconds(now())
+
+    /** The control replica that this entry VM follows; null while it does not reply or may be out of date. */
     val followedReplica: String? get() = following.followedReplica(now())
 
     /**
@@ -137,8 +153,8 @@
 
     private fun receive(peer: String, frame: PeerFrame) {
         frame.fleetNews?.let { news ->
-            following.recordUpdate(peer, news, now())
             handlers.onNews(peer, news)
+            following.recordUpdate(peer, news, handlers.configurationVersion(), now())
         }
         when (frame.kind) {
             PeerFrameKind.PRESENCE -> handlers.onPresenceFrame(peer, frame)
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/CommandClientTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/CommandClientTest.kt
@@ -55,7 +55,7 @@
 
     private suspend fun connectedClient(replicas: Set<String>): CommandClient {
         val now = Clock.system.monotonicMilliseconds
-        val handlers = ReplicaMessageHandlers({ _, _ -> }, { _, _ -> }, { _, _ -> })
+        val handlers = ReplicaMessageHandlers({ _, _ -> }, { _, _ -> }, { _, _ -> }, { _, _ -> }, { 0 })
         val replicaConnections = ReplicaConnections(settings("self"), selector, peerScope, handlers, now)
         replicaConnections.connectTo(replicas, replicas)
         eventually(5.seconds) { replicaConnections.connectedReplicas().size shouldBe replicas.size }
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
@@ -37,6 +37,7 @@
             configuration = { configuration },
             isLeader = { false },
             hasLeader = { true },
+            confirmedAgeMilliseconds = { 0 },
             heartbeatMilliseconds = 60_000,
             relay = { relayed += it },
             suspicions = newSuspicionPublisher(),
@@ -188,7 +189,7 @@
     fun `a backend server whose announcements are relayed is not silent, one whose relays end is`() {
         val state = FleetState(log, clock) { Err(Failure(ResultCode.MALFORMED, "not read here")) }
         val environment =
-            FleetPublisherEnvironment(clock, { null }, { false }, { true }, 1_000, {}, newSuspicionPublisher(), log)
+            FleetPublisherEnvironment(clock, { null }, { false }, { true }, { 0 }, 1_000, {}, newSuspicionPublisher(), log)
         val other = FleetPublisher(state, environment)
         (0L..9_000L step 500).forEachIndexed { step, time ->
             now = time
@@ -203,7 +204,7 @@
     fun `a replica relays each presence of its followers once, and another one lists them until they fall silent`() {
         val other = FleetPublisher(
             FleetState(log, { now }) { Err(Failure(ResultCode.MALFORMED, "not read here")) },
-            FleetPublisherEnvironment(clock, { null }, { false }, { true }, 60_000, {}, newSuspicionPublisher(), log),
+            FleetPublisherEnvironment(clock, { null }, { false }, { true }, { 0 }, 60_000, {}, newSuspicionPublisher(), log),
         )
         val listed = mutableListOf<List<String>>()
         val follower = EntryPresence("follower", incarnation = 1, "b", "c:9", ready = true, follows = true)
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
@@ -1,7 +1,9 @@
 package cassiaspindle.relay.fleet
 
 import cassiaspindle.relay.configuration.ConfigurationDigestCache
+import cassiaspindle.relay.configuration.isConfirmedAge
 import cassiaspindle.schema.EntryPresence
+import cassiaspindle.schema.FleetNews
 import cassiaspindle.schema.StoredConfiguration
 
 /** An entry VM, and the connection over which it receives updates; a process numbers its connections. */
@@ -14,6 +16,10 @@
     /** Digest of the backend servers and entry VMs. */
     val fleetDigest: Long,
     val isLeader: Boolean,
+    /** Whether it is the leader or knows it. */
+    val hasLeader: Boolean,
+    /** Age of the time before which all changes are applied at it, in milliseconds, or null if unknown. */
+    val confirmedAgeMilliseconds: Long?,
 )
 
 /** What a control replica sends to an entry VM that reported. */
@@ -68,6 +74,14 @@
         )
     }
 
+    /** Adds to [news] how current this replica is; [answered] is the report that they answer, or null. */
+    fun stamp(news: FleetNews, knowledge: ReplicaKnowledge, answered: EntryPresence?): FleetNews = news.copy(
+        hearsLeader = knowledge.hasLeader && isConfirmedAge(knowledge.confirmedAgeMilliseconds),
+        confirmedAgeMilliseconds = knowledge.confirmedAgeMilliseconds,
+        answeredMilliseconds = answered?.sentMilliseconds ?: 0,
+        configurationVersion = knowledge.configuration?.version ?: 0,
+    )
+
     /** Records that [configuration] was published to [receiver]. */
     fun recordPublished(receiver: EntryReceiver, configuration: StoredConfiguration, nowMilliseconds: Long) =
         sentConfigurations.record(receiver, configuration, nowMilliseconds)
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/PresenceTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/PresenceTable.kt
@@ -55,4 +55,5 @@
     follows = false,
     suspicionDigest = 0,
     asks = false,
+    sentMilliseconds = 0,
 )
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/ReplicaFollowing.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/ReplicaFollowing.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.relay.fleet
 
+import cassiaspindle.relay.configuration.ConfigurationFreshness
 import cassiaspindle.schema.FleetNews
 import java.util.concurrent.atomic.AtomicReference
 
@@ -22,7 +23,7 @@
     val followed: String?,
     /** Peer addresses of the control replicas that receive the report. */
     val receivers: Set<String>,
-    /** Whether all receivers are to answer, so that the next report goes to one that has contact with a leader. */
+    /** Whether all receivers are to answer, with the newest configuration if the entry VM lacks it. */
     val isAsking: Boolean,
 )
 
@@ -30,6 +31,7 @@
 class ReplicaFollowing(private val self: String) {
     private val selector = FollowedReplicaSelector(self)
     private val presenceReceivers = PresenceReceivers()
+    private val freshness = ConfigurationFreshness()
     private val lastFollowed = AtomicReference<String?>(null)
 
     /** Plans the next presence report. A replica in the same process is followed only if there is no other. */
@@ -43,11 +45,16 @@
         return ReportPlan(followed, presenceReceivers.select(report), isAsking = !isFollowedHeard)
     }
 
-    /** Records the update [news] from the control replica [peer]. */
-    fun recordUpdate(peer: String, news: FleetNews, nowMilliseconds: Long) =
+    /** Records the update [news] from the control replica [peer]; [heldVersion] is in force once they are applied. */
+    fun recordUpdate(peer: String, news: FleetNews, heldVersion: Long, nowMilliseconds: Long) {
+        freshness.record(news, heldVersion)
         selector.recordUpdate(peer, news.hearsLeader, nowMilliseconds)
+    }
+
+    /** The control replica that is followed; null while it does not reply, or may lack the newest configuration. */
+    fun followedReplica(nowMilliseconds: Long): String? = lastFollowed.get()
+        ?.takeIf { selector.isHeard(it, nowMilliseconds) && !freshness.isDoubtful(nowMilliseconds) }
 
-    /** The control replica that is followed; null while that one does not reply or has no leader. */
-    fun followedReplica(nowMilliseconds: Long): String? =
-        lastFollowed.get()?.takeIf { selector.isHeard(it, nowMilliseconds) }
+    /** Time since the configuration was known to be the newest, in milliseconds, or null if it never was. */
+    fun configurationAgeMilliseconds(nowMilliseconds: Long): Long? = freshness.ageMilliseconds(nowMilliseconds)
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/GroupReplica.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/GroupReplica.kt
@@ -45,6 +45,13 @@
     val isCurrent: Boolean
         get() = (isLeader || appendReceiver.hasAppliedLeaderCommit) && leadership.hasCommittedInTerm()
 
+    /**
+     * The newest time on the clock of this replica before which all commits are known to be applied here, or null. A
+     * replica that is cut off keeps the last one, whatever leader it knows.
+     */
+    fun confirmedMilliseconds(nowMilliseconds: Long): Long? =
+        if (isLeader) leadership.confirmedMilliseconds(nowMilliseconds) else appendReceiver.confirmedMilliseconds
+
     /** Handles a message from a peer; drops one that is addressed to another identity of this replica. */
     fun receive(message: ReplicationMessage, nowMilliseconds: Long): ReplicationOutput = collectOutput { output ->
         dispatcher.dispatch(message, nowMilliseconds, output)
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessDisruptions.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessDisruptions.kt
@@ -26,6 +26,7 @@
 ) {
     private val network = targets.core.network
     private var disrupted: String? = null
+    private var isLeaderDisrupted = false
 
     /** Number of disruptions of the core. */
     var coreDisruptions = 0
@@ -48,7 +49,8 @@
         val name = targets.core.machines.all.random(random).name
         disrupted = name
         coreDisruptions++
-        targets.oracle.recordCoreDisruption(schedule.now())
+        isLeaderDisrupted = targets.core.machines.find(name).controlReplica?.reads?.isLeader() ?: false
+        recordIfLeaderDisrupted()
         disrupt(name)
     }
 
@@ -72,7 +74,12 @@
 
     private fun endCoreDisruption() {
         disrupted = null
-        targets.oracle.recordCoreDisruption(schedule.now())
+        recordIfLeaderDisrupted()
+    }
+
+    /** A quorum that keeps its leader goes on acknowledging, so the disruption of another replica excuses nobody. */
+    private fun recordIfLeaderDisrupted() {
+        if (isLeaderDisrupted) targets.oracle.recordCoreDisruption(schedule.now())
     }
 
     private fun restartEntry() {
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessOracle.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessOracle.kt
@@ -9,7 +9,7 @@
 /**
  * Checks that no entry VM in touch uses a configuration older than one that was acknowledged 2 s ago or earlier.
  *
- * For 3 s after a disruption of the core, and at an entry VM for 3 s after a disruption of its own, nothing is asked.
+ * For 3 s after a disruption of the leader, and at an entry VM for 3 s after a disruption of its own, nothing is asked.
  */
 internal class FreshnessOracle {
     private val acknowledgements = mutableListOf<Acknowledgement>()
@@ -29,7 +29,7 @@
         acknowledgements += Acknowledgement(version, nowMilliseconds)
     }
 
-    /** Records a disruption between control replicas, or of one of them. */
+    /** Records that a disruption of the leader begins or ends. */
     fun recordCoreDisruption(nowMilliseconds: Long) {
         lastCoreDisruption = nowMilliseconds
     }
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessSimulation.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessSimulation.kt
@@ -28,6 +28,7 @@
 /** Each availability zone has one control replica at least. */
 private const val ZONES = 3
 private const val MAXIMUM_TOLERATED_LOSSES = 2
+private const val MAXIMUM_CLOCK_OFFSET_MILLISECONDS = 100_000L
 
 /** Result of one simulation. */
 data class FreshnessSimulationResult(
@@ -57,7 +58,9 @@
     )
     private val oracle = FreshnessOracle()
     private val links = EntryLinks(schedule, random)
-    private val entries = List(ENTRIES) { SimulatedEntry("entry-$it", setOf("control-${it % ZONES}")) }
+    private val entries = List(ENTRIES) {
+        SimulatedEntry("entry-$it", setOf("control-${it % ZONES}"), 1 + random.nextLong(MAXIMUM_CLOCK_OFFSET_MILLISECONDS))
+    }
     private val publishers = mutableMapOf<String, SimulatedPublisher>()
     private val disruptions =
         FreshnessDisruptions(DisruptionTargets(core, entries, links, oracle), schedule, random)
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedEntry.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedEntry.kt
@@ -6,7 +6,12 @@
 import cassiaspindle.schema.FleetNews
 
 /** An entry VM that reports its presence to control replicas and applies their configurations. */
-internal class SimulatedEntry(val name: String, private val replicasInZone: Set<String>) {
+internal class SimulatedEntry(
+    val name: String,
+    private val replicasInZone: Set<String>,
+    /** Its clock is ahead of the true time by this. */
+    private val clockOffsetMilliseconds: Long,
+) {
     private var incarnation = 1L
     private var following = ReplicaFollowing(name)
 
@@ -22,8 +27,9 @@
     }
 
     /** The presence reports that are due, by the control replica that receives each. */
-    fun report(replicas: Set<String>, connected: Set<String>, nowMilliseconds: Long): Map<String, EntryPresence> {
-        val plan = following.planReport(ReportState(replicas, connected, replicasInZone, version > 0, nowMilliseconds))
+    fun report(replicas: Set<String>, connected: Set<String>, trueMilliseconds: Long): Map<String, EntryPresence> {
+        val now = trueMilliseconds + clockOffsetMilliseconds
+        val plan = following.planReport(ReportState(replicas, connected, replicasInZone, version > 0, now))
         val presence = EntryPresence(
             name,
             incarnation,
@@ -31,13 +37,14 @@
             callerAddress = name,
             ready = version > 0,
             configurationVersion = version,
+            sentMilliseconds = now,
         )
         return plan.receivers.associateWith { presence.copy(follows = it == plan.followed, asks = plan.isAsking) }
     }
 
     /** Applies [news] from the control replica [replica]. */
-    fun receive(replica: String, news: FleetNews, nowMilliseconds: Long) {
+    fun receive(replica: String, news: FleetNews, trueMilliseconds: Long) {
         version = maxOf(version, news.configuration?.version ?: 0)
-        following.recordUpdate(replica, news, nowMilliseconds)
+        following.recordUpdate(replica, news, version, trueMilliseconds + clockOffsetMilliseconds)
     }
 }
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedPublisher.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedPublisher.kt
@@ -32,11 +32,12 @@
     /** Handles the [presence] of an entry VM. */
     fun receive(presence: EntryPresence, replica: ControlReplica, nowMilliseconds: Long) {
         if (presence.follows) followers += presence.name else followers -= presence.name
-        val knowledge = ReplicaKnowledge(replica.reads.currentConfiguration(), 0, replica.reads.isLeader())
+        val knowledge = knowledgeOf(replica, nowMilliseconds)
         val update = updates.answer(presence, connectionOf(presence.name), knowledge, nowMilliseconds)
         val configuration = update.configuration?.takeIf { isRepairDue(presence.name, nowMilliseconds) }
         if (configuration != null) repairs[presence.name] = nowMilliseconds
-        val isLost = update.isAnswered && !send(presence.name, newsOf(replica).copy(configuration = configuration))
+        val news = updates.stamp(FleetNews(configuration = configuration), knowledge, presence)
+        val isLost = update.isAnswered && !send(presence.name, news)
         if (isLost || configuration != update.configuration) updates.recordLost(receiverOf(presence.name))
     }
 
@@ -45,7 +46,9 @@
         val configuration = replica.reads.currentConfiguration() ?: return
         if (configuration.version <= publishedVersion) return
         publishedVersion = configuration.version
-        followers.removeIf { !send(it, newsOf(replica).copy(configuration = configuration)) }
+        val news =
+            updates.stamp(FleetNews(configuration = configuration), knowledgeOf(replica, nowMilliseconds), answered = null)
+        followers.removeIf { !send(it, news) }
         followers.forEach { updates.recordPublished(receiverOf(it), configuration, nowMilliseconds) }
     }
 
@@ -54,5 +57,11 @@
 
     private fun receiverOf(entry: String) = EntryReceiver(entry, connectionOf(entry))
 
-    private fun newsOf(replica: ControlReplica) = FleetNews(hearsLeader = replica.documentGroupStatus().leader != null)
+    private fun knowledgeOf(replica: ControlReplica, nowMilliseconds: Long) = ReplicaKnowledge(
+        configuration = replica.reads.currentConfiguration(),
+        fleetDigest = 0,
+        isLeader = replica.reads.isLeader(),
+        hasLeader = replica.documentGroupStatus().leader != null,
+        confirmedAgeMilliseconds = faults.statedAge(replica.reads.confirmedAge(nowMilliseconds)),
+    )
 }
--- a/history/src/test/kotlin/cassiaspindle/history/freshness/FreshnessSimulationTest.kt
+++ b/history/src/test/kotlin/cassiaspindle/history/freshness/FreshnessSimulationTest.kt
@@ -22,6 +22,11 @@
         firstViolation(FreshnessFaults(repairIntervalMilliseconds = 5_000)).shouldNotBeNull()
     }
 
+    @Test
+    fun `a control replica that always claims to be current is detected`() {
+        firstViolation(FreshnessFaults(statedAge = { 0 })).shouldNotBeNull()
+    }
+
     private fun firstViolation(faults: FreshnessFaults): FreshnessSimulationResult? = (1L..SEED_COUNT).asSequence()
         .map { FreshnessSimulation(it, faults).run() }
         .firstOrNull { it.violation != null }
