Keep the confirmation of a replica in a class of its own

Change: Confirmation in the replication library holds the age, for leader and follower; ReplicaFreshness passes it on; what a replica knows is one value for the publisher instead of four functions. No behaviour changes.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -12,6 +12,7 @@
 import cassiaspindle.daemon.relay.fleet.ReplicaConnections
 import cassiaspindle.daemon.relay.fleet.SuspicionEnvironment
 import cassiaspindle.daemon.relay.fleet.SuspicionPublisher
+import cassiaspindle.relay.fleet.ReplicaKnowledge
 import cassiaspindle.schema.ContentDecisions
 import cassiaspindle.schema.PeerFrame
 import cassiaspindle.schema.PeerFrameKind
@@ -83,11 +84,8 @@
         dependencies.fleetState,
         FleetPublisherEnvironment(
             now = environment.clock.monotonicMilliseconds,
-            configuration = { supervisor.replica?.driver?.controlReplica?.reads?.currentConfiguration() },
-            isLeader = ::isLeader,
-            hasLeader = { supervisor.replica?.driver?.controlReplica?.documentGroupStatus()?.leader != null },
-            confirmedAgeMilliseconds = {
-                supervisor.replica?.driver?.let { it.controlReplica?.reads?.confirmedAge(it.now()) }
+            knowledge = {
+                knowledgeOf(supervisor.replica?.driver?.controlReplica, environment.clock.monotonicMilliseconds())
             },
             heartbeatMilliseconds = settings.heartbeatMilliseconds,
             relay = { news ->
@@ -219,3 +217,11 @@
         const val REPLICA_CLOSE_TIMEOUT_MILLISECONDS = 300L
     }
 }
+
+/** What [replica] knows, or what is known without a replica. */
+private fun knowledgeOf(replica: ControlReplica?, nowMilliseconds: Long) = ReplicaKnowledge(
+    configuration = replica?.reads?.currentConfiguration(),
+    isLeader = replica?.reads?.isLeader() ?: false,
+    hasLeader = replica?.documentGroupStatus()?.leader != null,
+    confirmedAgeMilliseconds = replica?.freshness?.ageMilliseconds(nowMilliseconds),
+)
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -2,7 +2,6 @@
 
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.relay.fleet.EntryReceiver
-import cassiaspindle.relay.fleet.EntryUpdate
 import cassiaspindle.relay.fleet.EntryUpdates
 import cassiaspindle.relay.fleet.PresenceTable
 import cassiaspindle.relay.fleet.ReplicaKnowledge
@@ -38,14 +37,8 @@
 /** Dependencies of [FleetPublisher]. */
 data class FleetPublisherEnvironment(
     val now: () -> Long,
-    /** The newest configuration that the local replica has applied, or null. */
-    val configuration: () -> StoredConfiguration?,
-    /** Whether the local replica is the leader. */
-    val isLeader: () -> Boolean,
-    /** Whether the local replica is the leader or in contact with one. */
-    val hasLeader: () -> Boolean,
-    /** Age of the time before which all changes are applied at the local replica, in milliseconds, or null. */
-    val confirmedAgeMilliseconds: () -> Long?,
+    /** What the local replica knows. */
+    val knowledge: () -> ReplicaKnowledge,
     /** Interval between two announcements of a backend server, in milliseconds. */
     val heartbeatMilliseconds: Long,
     /** Relays news to the other replicas; must not block. */
@@ -82,36 +75,16 @@
         } else {
             followers -= presence.name
         }
-        val update = updates.answer(presence, connection.number, knowledge(), environment.now())
+        val fleetDigest = fleetDigestOf(fleetState.runners.digest(), presences.live().digest)
+        val update =
+            updates.answer(presence, connection.number, environment.knowledge(), fleetDigest, environment.now())
         val news = if (update.isFleetIncluded) completeNews() else FleetNews()
         if (update.isAnswered) {
             val answer = environment.suspicions.complete(news.copy(configuration = update.configuration), presence)
             val isSent = connection.send(frameOf(answer, answered = presence))
             if (!isSent) updates.recordLost(EntryReceiver(presence.name, connection.number))
         }
-        logMissing(presence, update)
-    }
-
-    private fun knowledge() = ReplicaKnowledge(
-        configuration = environment.configuration(),
-        fleetDigest = fleetDigestOf(fleetState.runners.digest(), presences.live().digest),
-        isLeader = environment.isLeader(),
-        hasLeader = environment.hasLeader(),
-        confirmedAgeMilliseconds = environment.confirmedAgeMilliseconds(),
-    )
-
-    private fun logMissing(presence: EntryPresence, update: EntryUpdate) {
-        val missing = update.missingConfiguration ?: return
-        val repair = update.repair
-        if (update.configuration == null && !presence.follows) return
-        environment.log.write(
-            if (update.configuration != null) "configuration_repaired" else "configuration_repair_waits",
-            "entry" to presence.name,
-            "held" to presence.configurationVersion,
-            "missing" to missing.version,
-            "differs_ms" to repair?.differsMilliseconds,
-            "since_repair_ms" to repair?.sinceRepairMilliseconds,
-        )
+        environment.log.writeMissingConfiguration(presence, update)
     }
 
     /** Handles what an entry VM has learnt from crashes. */
@@ -176,8 +149,10 @@
         dropped.forEach { environment.log.write("follower_dropped", "entry" to it) }
     }
 
-    private fun frameOf(news: FleetNews, answered: EntryPresence? = null) =
-        OutgoingFrame(PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = updates.stamp(news, knowledge(), answered)))
+    private fun frameOf(news: FleetNews, answered: EntryPresence? = null): OutgoingFrame {
+        val stamped = updates.stamp(news, environment.knowledge(), answered)
+        return OutgoingFrame(PeerFrame(PeerFrameKind.FLEET_NEWS, fleetNews = stamped))
+    }
 }
 
 /** A digest of backend servers and entry VMs; equal in all processes with the same state. */
--- a/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
+++ b/daemon/relay/src/test/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisherTest.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.relay.configuration.contentDigestOf
+import cassiaspindle.relay.fleet.ReplicaKnowledge
 import cassiaspindle.schema.EntryPresence
 import cassiaspindle.schema.FleetNews
 import cassiaspindle.schema.RunnerNotice
@@ -34,10 +35,7 @@
         fleetState = FleetState(log, { now }) { Err(Failure(ResultCode.MALFORMED, "not read here")) }
         val environment = FleetPublisherEnvironment(
             now = { now },
-            configuration = { configuration },
-            isLeader = { false },
-            hasLeader = { true },
-            confirmedAgeMilliseconds = { 0 },
+            knowledge = { knowledgeOf(configuration) },
             heartbeatMilliseconds = 60_000,
             relay = { relayed += it },
             suspicions = newSuspicionPublisher(),
@@ -51,6 +49,9 @@
     private fun newSuspicionPublisher() =
         SuspicionPublisher(SuspicionEnvironment(log, { null }, blockMilliseconds = 1_000, clock, clock) { it() })
 
+    private fun knowledgeOf(configuration: StoredConfiguration?) =
+        ReplicaKnowledge(configuration, isLeader = false, hasLeader = true, confirmedAgeMilliseconds = 0)
+
     private fun runner(index: Int) = RunnerNotice(
         id = "runner-$index",
         service = "model",
@@ -189,7 +190,7 @@
     fun `a backend server whose announcements are relayed is not silent, one whose relays end is`() {
         val state = FleetState(log, clock) { Err(Failure(ResultCode.MALFORMED, "not read here")) }
         val environment =
-            FleetPublisherEnvironment(clock, { null }, { false }, { true }, { 0 }, 1_000, {}, newSuspicionPublisher(), log)
+            FleetPublisherEnvironment(clock, { knowledgeOf(null) }, 1_000, {}, newSuspicionPublisher(), log)
         val other = FleetPublisher(state, environment)
         (0L..9_000L step 500).forEachIndexed { step, time ->
             now = time
@@ -204,7 +205,7 @@
     fun `a replica relays each presence of its followers once, and another one lists them until they fall silent`() {
         val other = FleetPublisher(
             FleetState(log, { now }) { Err(Failure(ResultCode.MALFORMED, "not read here")) },
-            FleetPublisherEnvironment(clock, { null }, { false }, { true }, { 0 }, 60_000, {}, newSuspicionPublisher(), log),
+            FleetPublisherEnvironment(clock, { knowledgeOf(null) }, 60_000, {}, newSuspicionPublisher(), log),
         )
         val listed = mutableListOf<List<String>>()
         val follower = EntryPresence("follower", incarnation = 1, "b", "c:9", ready = true, follows = true)
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReads.kt
@@ -31,11 +31,6 @@
         shard.stateMachine.configurations.newest.takeIf { shard.replica.isCurrent }
     }
 
-    /** The age of the time before which all changes are known to be applied at this replica, or null if unknown. */
-    fun confirmedAge(nowMilliseconds: Long): Long? = shards.withIndex(DOCUMENT_GROUP) { shard ->
-        shard.replica.confirmedMilliseconds(nowMilliseconds)?.let { nowMilliseconds - it }
-    }
-
     /**
      * The blocked contents and the trials of suspected ones, or null while this replica may be stale, like
      * [currentConfiguration].
--- a/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReplica.kt
+++ b/decision/control/src/main/kotlin/cassiaspindle/control/group/ControlReplica.kt
@@ -81,6 +81,9 @@
     /** Reads of the replicated state. */
     val reads = ControlReads(shards, sessions)
 
+    /** How current this replica is. */
+    val freshness = ReplicaFreshness(shards)
+
     /** The leases of entry VMs. */
     val leases = EntryLeases(shards, sessions, settings.entryLeaseMilliseconds)
 
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
@@ -13,8 +13,6 @@
 data class ReplicaKnowledge(
     /** The newest configuration that it has applied, or null. */
     val configuration: StoredConfiguration?,
-    /** Digest of the backend servers and entry VMs. */
-    val fleetDigest: Long,
     val isLeader: Boolean,
     /** Whether it is the leader or knows it. */
     val hasLeader: Boolean,
@@ -48,17 +46,21 @@
     private val sentConfigurations = SentConfigurations(resendMilliseconds)
     private val configurationDigests = ConfigurationDigestCache()
 
-    /** Decides what the entry VM of [presence], reported over the connection number [connection], receives. */
+    /**
+     * Decides what the entry VM of [presence], reported over the connection number [connection], receives;
+     * [fleetDigest] is the digest of the backend servers and entry VMs known here.
+     */
     fun answer(
         presence: EntryPresence,
         connection: Long,
         knowledge: ReplicaKnowledge,
+        fleetDigest: Long,
         nowMilliseconds: Long,
     ): EntryUpdate {
         val receiver = EntryReceiver(presence.name, connection)
         val missing = knowledge.configuration?.takeIf { configurationDigests.isMissing(it, presence) }
         val isRequester = presence.follows || presence.asks
-        val differs = if (isRequester) presence.follows && isFleetOther(presence, knowledge) else missing != null
+        val differs = if (isRequester) presence.follows && presence.fleetDigest != fleetDigest else missing != null
         val isResponsible = presence.follows || knowledge.isLeader
         val repair = if (isResponsible) repairs.claimRepair(presence, differs, nowMilliseconds) else null
         val isRepairDue = repair?.isDue ?: false
@@ -88,7 +90,4 @@
 
     /** Records that [receiver] was not sent its answer. */
     fun recordLost(receiver: EntryReceiver) = sentConfigurations.forget(receiver)
-
-    private fun isFleetOther(presence: EntryPresence, knowledge: ReplicaKnowledge) =
-        presence.fleetDigest != knowledge.fleetDigest
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/AppendReceiver.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/AppendReceiver.kt
@@ -16,13 +16,6 @@
     /** Whether this replica has applied all entries up to the commit index in the last append from a leader. */
     val hasAppliedLeaderCommit: Boolean get() = leaderCommitIndex?.let { it <= state.commitIndex } ?: false
 
-    /**
-     * All that was committed before this time, on the clock of this replica, is applied here; null before the first
-     * confirmation. The transit of an append counts as 0: pings end a connection that delays it for long.
-     */
-    var confirmedMilliseconds: Long? = null
-        private set
-
     fun receiveAppend(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
         if (!followLeader(message, nowMilliseconds, output)) return
         leaderCommitIndex = message.commitIndex
@@ -33,15 +26,10 @@
         message.logEntries.forEach { appendIfMissing(it, output) }
         val lastMatchingIndex = message.lastIndex + message.logEntries.size
         applier.commitUpTo(minOf(message.commitIndex, lastMatchingIndex), output)
-        if (hasAppliedLeaderCommit) recordConfirmation(message, nowMilliseconds)
+        if (hasAppliedLeaderCommit) leadership.confirmation.recordAppend(message, nowMilliseconds)
         reply(message, granted = true, lastIndex = lastMatchingIndex, output)
     }
 
-    private fun recordConfirmation(message: ReplicationMessage, nowMilliseconds: Long) {
-        val confirmed = message.confirmedAgeMilliseconds?.let { nowMilliseconds - it } ?: return
-        confirmedMilliseconds = maxOf(confirmed, confirmedMilliseconds ?: confirmed)
-    }
-
     fun receiveSnapshot(message: ReplicationMessage, nowMilliseconds: Long, output: OutputCollector) {
         val snapshot = message.snapshot ?: return
         if (!followLeader(message, nowMilliseconds, output)) return
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/AppendSender.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/AppendSender.kt
@@ -4,15 +4,8 @@
 import cassiaspindle.schema.ReplicationKind
 
 /** Sends a peer the entries it lacks, or a snapshot if the log no longer contains them. */
-internal class AppendSender(private val state: ReplicaState) {
-    /** Sends to [to]; [confirmedAgeMilliseconds] is the time since the last confirmed round of the leader, if known. */
-    fun send(
-        to: Replica,
-        peer: Progress,
-        nowMilliseconds: Long,
-        confirmedAgeMilliseconds: Long?,
-        output: OutputCollector,
-    ) {
+internal class AppendSender(private val state: ReplicaState, private val confirmation: Confirmation) {
+    fun send(to: Replica, peer: Progress, nowMilliseconds: Long, output: OutputCollector) {
         val previous = peer.nextIndex - 1
         val previousTerm = state.log.termAt(previous)
         if (previousTerm == null) {
@@ -28,7 +21,7 @@
                 commitIndex = state.commitIndex,
                 round = nowMilliseconds,
                 logEntries = entries,
-                confirmedAgeMilliseconds = confirmedAgeMilliseconds,
+                confirmedAgeMilliseconds = confirmation.ageMilliseconds(nowMilliseconds),
             ),
         )
     }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/GroupReplica.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/GroupReplica.kt
@@ -36,6 +36,9 @@
     /** Whether this replica is the leader. */
     val isLeader: Boolean get() = state.role == Role.LEADER
 
+    /** When all commits are known to be applied here. */
+    val confirmation: Confirmation get() = leadership.confirmation
+
     /**
      * Whether this replica has applied everything that the leader of the current term reported as committed in its
      * last append.
@@ -43,14 +46,7 @@
      * After a start the state may be stale until a leader sends its commit index.
      */
     val isCurrent: Boolean
-        get() = (isLeader || appendReceiver.hasAppliedLeaderCommit) && leadership.hasCommittedInTerm()
-
-    /**
-     * The newest time on the clock of this replica before which all commits are known to be applied here, or null. A
-     * replica that is cut off keeps the last one, whatever leader it knows.
-     */
-    fun confirmedMilliseconds(nowMilliseconds: Long): Long? =
-        if (isLeader) leadership.confirmedMilliseconds(nowMilliseconds) else appendReceiver.confirmedMilliseconds
+        get() = (isLeader || appendReceiver.hasAppliedLeaderCommit) && state.hasCommittedInTerm
 
     /** Handles a message from a peer; drops one that is addressed to another identity of this replica. */
     fun receive(message: ReplicationMessage, nowMilliseconds: Long): ReplicationOutput = collectOutput { output ->
@@ -112,7 +108,7 @@
 
     /** Whether the state machine may serve a linearizable read at [nowMilliseconds] under the leader lease. */
     fun canRead(nowMilliseconds: Long): Boolean =
-        leadership.holdsLease(nowMilliseconds) && leadership.hasCommittedInTerm()
+        leadership.holdsLease(nowMilliseconds) && state.hasCommittedInTerm
 
     /**
      * Whether a quorum has answered a round of this leader that was sent after [requestedMilliseconds].
@@ -121,7 +117,7 @@
      * the drift of clocks.
      */
     fun isConfirmedAfter(requestedMilliseconds: Long, nowMilliseconds: Long): Boolean =
-        leadership.isConfirmedAfter(requestedMilliseconds, nowMilliseconds) && leadership.hasCommittedInTerm()
+        leadership.isConfirmedAfter(requestedMilliseconds, nowMilliseconds) && state.hasCommittedInTerm
 
     /** Join requests to the replicas named [names]; none if this replica is a member or follows a leader. */
     fun joinRequests(names: List<String>): List<ReplicationMessage> =
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/Leadership.kt
@@ -4,7 +4,6 @@
 import cassiaspindle.schema.ControlCommandKind
 import cassiaspindle.schema.HardState
 import cassiaspindle.schema.LogEntry
-import cassiaspindle.schema.Replica
 import cassiaspindle.schema.ReplicationMessage
 
 /**
@@ -16,7 +15,10 @@
 internal class Leadership(private val state: ReplicaState, private val applier: CommitApplier) {
     /** Replication progress of the peers. */
     val progress = ProgressTable(state)
-    private val appendSender = AppendSender(state)
+
+    /** When all commits are known to be applied at this replica. */
+    val confirmation = Confirmation(state, progress)
+    private val appendSender = AppendSender(state, confirmation)
     private var nextRoundMilliseconds = 0L
 
     /** When this replica last became leader. */
@@ -74,7 +76,7 @@
         } else {
             peer.nextIndex = maxOf(peer.matchIndex + 1, minOf(peer.nextIndex - 1, reply.lastIndex + 1))
         }
-        if (peer.nextIndex <= state.log.lastIndex) sendAppend(reply.from, peer, nowMilliseconds, output)
+        if (peer.nextIndex <= state.log.lastIndex) appendSender.send(reply.from, peer, nowMilliseconds, output)
     }
 
     /** Commits up to the last entry that is durable at a quorum, if that entry belongs to the current term. */
@@ -97,23 +99,11 @@
         return state.role == Role.LEADER && round != null && round > requestedMilliseconds
     }
 
-    /** The newest time of which a quorum has confirmed that this replica led; null if it may lack earlier commits. */
-    fun confirmedMilliseconds(nowMilliseconds: Long): Long? =
-        progress.quorumRound(nowMilliseconds).takeIf { state.role == Role.LEADER && hasCommittedInTerm() }
-
-    /** Whether an entry of the current term is committed here, so that all earlier commits are applied too. */
-    fun hasCommittedInTerm(): Boolean = state.log.termAt(state.commitIndex) == state.term
-
     /** Sends a round to all peers; one that was removed gets its last append, so that it learns of the removal. */
     private fun sendRound(nowMilliseconds: Long, output: OutputCollector) {
         nextRoundMilliseconds = state.settings.nextRoundAfter(nowMilliseconds)
         val removed = progress.removePeers()
-        state.peers.forEach { sendAppend(it, progress.getOrCreate(it), nowMilliseconds, output) }
-        removed.forEach { (replica, peer) -> sendAppend(replica, peer, nowMilliseconds, output) }
-    }
-
-    private fun sendAppend(to: Replica, peer: Progress, nowMilliseconds: Long, output: OutputCollector) {
-        val confirmedAge = confirmedMilliseconds(nowMilliseconds)?.let { nowMilliseconds - it }
-        appendSender.send(to, peer, nowMilliseconds, confirmedAge, output)
+        state.peers.forEach { appendSender.send(it, progress.getOrCreate(it), nowMilliseconds, output) }
+        removed.forEach { (replica, peer) -> appendSender.send(replica, peer, nowMilliseconds, output) }
     }
 }
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipManager.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/MembershipManager.kt
@@ -18,7 +18,7 @@
     val canChange: Boolean
         get() = state.role == Role.LEADER &&
             state.log.membershipIndex <= state.commitIndex &&
-            leadership.hasCommittedInTerm()
+            state.hasCommittedInTerm
 
     /** Join requests to the replicas named [names]; none if this replica is a member or follows a leader. */
     fun joinRequests(names: List<String>, output: OutputCollector): List<ReplicationMessage> {
--- a/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
+++ b/decision/replication/src/main/kotlin/cassiaspindle/replication/ReplicaState.kt
@@ -73,6 +73,9 @@
     /** All other replicas of the group. */
     val peers: List<Replica> get() = (membership.voters + membership.learners).filter { it != self }
 
+    /** Whether an entry of the current term is committed here, so that all earlier commits are applied too. */
+    val hasCommittedInTerm: Boolean get() = log.termAt(commitIndex) == term
+
     fun quorum(): Int = membership.voters.size / 2 + 1
 
     /** Learns that no leader of [ended] or an earlier term holds a lease. */
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessOracle.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessOracle.kt
@@ -46,8 +46,8 @@
         checks++
         val due = acknowledgements.lastOrNull { it.atMilliseconds < nowMilliseconds - APPLY_BOUND_MILLISECONDS }
         if (due != null && entry.version < due.version && violation == null) {
-            violation = "at $nowMilliseconds ms ${entry.name} uses version ${entry.version}; version ${due.version} was " +
-                "acknowledged ${nowMilliseconds - due.atMilliseconds} ms before"
+            violation = "at $nowMilliseconds ms ${entry.name} uses version ${entry.version}; " +
+                "version ${due.version} was acknowledged ${nowMilliseconds - due.atMilliseconds} ms before"
         }
     }
 }
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessSimulation.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/FreshnessSimulation.kt
@@ -59,7 +59,8 @@
     private val oracle = FreshnessOracle()
     private val links = EntryLinks(schedule, random)
     private val entries = List(ENTRIES) {
-        SimulatedEntry("entry-$it", setOf("control-${it % ZONES}"), 1 + random.nextLong(MAXIMUM_CLOCK_OFFSET_MILLISECONDS))
+        val clockOffset = 1 + random.nextLong(MAXIMUM_CLOCK_OFFSET_MILLISECONDS)
+        SimulatedEntry("entry-$it", setOf("control-${it % ZONES}"), clockOffset)
     }
     private val publishers = mutableMapOf<String, SimulatedPublisher>()
     private val disruptions =
--- a/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedPublisher.kt
+++ b/history/src/main/kotlin/cassiaspindle/history/freshness/SimulatedPublisher.kt
@@ -33,7 +33,8 @@
     fun receive(presence: EntryPresence, replica: ControlReplica, nowMilliseconds: Long) {
         if (presence.follows) followers += presence.name else followers -= presence.name
         val knowledge = knowledgeOf(replica, nowMilliseconds)
-        val update = updates.answer(presence, connectionOf(presence.name), knowledge, nowMilliseconds)
+        val update =
+            updates.answer(presence, connectionOf(presence.name), knowledge, fleetDigest = 0, nowMilliseconds)
         val configuration = update.configuration?.takeIf { isRepairDue(presence.name, nowMilliseconds) }
         if (configuration != null) repairs[presence.name] = nowMilliseconds
         val news = updates.stamp(FleetNews(configuration = configuration), knowledge, presence)
@@ -46,8 +47,8 @@
         val configuration = replica.reads.currentConfiguration() ?: return
         if (configuration.version <= publishedVersion) return
         publishedVersion = configuration.version
-        val news =
-            updates.stamp(FleetNews(configuration = configuration), knowledgeOf(replica, nowMilliseconds), answered = null)
+        val knowledge = knowledgeOf(replica, nowMilliseconds)
+        val news = updates.stamp(FleetNews(configuration = configuration), knowledge, answered = null)
         followers.removeIf { !send(it, news) }
         followers.forEach { updates.recordPublished(receiverOf(it), configuration, nowMilliseconds) }
     }
@@ -59,9 +60,8 @@
 
     private fun knowledgeOf(replica: ControlReplica, nowMilliseconds: Long) = ReplicaKnowledge(
         configuration = replica.reads.currentConfiguration(),
-        fleetDigest = 0,
         isLeader = replica.reads.isLeader(),
         hasLeader = replica.documentGroupStatus().leader != null,
-        confirmedAgeMilliseconds = faults.statedAge(replica.reads.confirmedAge(nowMilliseconds)),
+        confirmedAgeMilliseconds = faults.statedAge(replica.freshness.ageMilliseconds(nowMilliseconds)),
     )
 }
