--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/CallerRequest.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/CallerRequest.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.daemon.relay.protocol
 
 import cassiaspindle.relay.route.LayerChain
+import cassiaspindle.relay.route.NamedLimit
 import cassiaspindle.relay.route.RequestedPause
 import cassiaspindle.transport.relay.Header
 
@@ -64,6 +65,8 @@
     val isLeaving: Boolean,
     /** The pause that the backend server asks this entry VM for, or null. */
     val requestedPause: RequestedPause?,
+    /** The limit on requests that the backend server names, or null. */
+    val namedLimit: NamedLimit?,
     /** Whether it states that the request did not run. */
     val isNotRun: Boolean,
     /** Address of the backend server at fault, or null. */
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/BackEndSignals.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/BackEndSignals.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.daemon.relay.fleet.ReplicaConnections
 import cassiaspindle.daemon.relay.log.EventLog
 import cassiaspindle.daemon.relay.protocol.BackEndResponseHead
+import cassiaspindle.relay.route.NamedLimit
 import cassiaspindle.relay.route.ReadinessTable
 import cassiaspindle.relay.route.RequestedPause
 import cassiaspindle.schema.RunnerNotice
@@ -32,6 +33,22 @@
     fun observe(runner: RunnerNotice, head: BackEndResponseHead) {
         head.requestedPause?.let { recordPause(runner, it) }
         if (head.isLeaving) recordLeaving(runner)
+        recordLimit(runner, head.namedLimit)
+    }
+
+    /** A response without a limit ends the one that was named before. */
+    private fun recordLimit(runner: RunnerNotice, limit: NamedLimit?) {
+        if (!dependencies.readiness.recordLimit(runner, limit)) return
+        dependencies.log.write(
+            when {
+                limit == null -> "runner_limit_ended"
+                limit.requestsPerSecond == null -> "runner_limit_unreadable"
+                else -> "runner_limit_named"
+            },
+            "runner" to runner.id,
+            "address" to runner.address,
+            "limit" to limit?.text,
+        )
     }
 
     /** A pause is this entry VM's alone: the backend server asked no other one. */
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/ReadinessTable.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/ReadinessTable.kt
@@ -80,6 +80,13 @@
             pause.grantedMilliseconds
         }
 
+    /** Records the [limit] that [runner] names in a response, or that it names none; returns whether it changed. */
+    fun recordLimit(runner: RunnerNotice, limit: NamedLimit?): Boolean = shards.withKey(runner.address) { states ->
+        val previous = states[runner.address]?.limit
+        if (limit != null) states.getOrPut(runner.address) { State() }.limit = limit else states[runner.address]?.limit = null
+        previous != limit
+    }
+
     /** Whether a request may start at [runner] at [nowMilliseconds]. */
     fun readinessOf(runner: RunnerNotice, nowMilliseconds: Long): Readiness = shards.withKey(runner.address) { states ->
         val state = states[runner.address]
@@ -98,6 +105,7 @@
     private class State {
         var backoff: Backoff? = null
         var pause: Pause? = null
+        var limit: NamedLimit? = null
 
         fun isOver(nowMilliseconds: Long): Boolean = (backoff?.isReset(nowMilliseconds) ?: true) &&
             (pause?.let { nowMilliseconds >= it.endMilliseconds } ?: true)
