Keep to the limits that backend servers name, by a share for each entry VM

Cause: the header was read by nobody, and no entry VM can keep a sum that it does not see. Class of fault: a shared resource used by many without an agreed part for each. Change: a limit is divided without messages, since all entry VMs know the same list: it belongs to those of the zone of the backend server, and to those of zones that have none to which requests can be sent, in equal parts, and a small one to as few as can each save up a request. One without a share asks rarely. Each keeps a token bucket that starts empty. All attempts count; a limited runner still works in later places of chains. Where all limits are used up, a request is refused at once with code 123 and the time of the next free request. Readiness is one question for backoff, pause and limit.

--- a/core/src/main/kotlin/cassiaspindle/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/cassiaspindle/core/result/ResultCode.kt
@@ -45,6 +45,7 @@
         "The request holds a content that may crash backend servers; it is tried with one request at a time.",
     ),
     BACK_ENDS_PAUSED(number = 122, Execution.NOT_RUN, "The backend servers have asked for a pause."),
+    BACK_ENDS_LIMITED(number = 123, Execution.NOT_RUN, "The limits that the backend servers name are used up."),
 
     DEADLINE_PASSED(number = 300, Execution.MAY_HAVE_RUN, "The deadline passed after work had begun."),
     BACK_END_LOST(number = 301, Execution.MAY_HAVE_RUN, "A backend server was lost after work had begun."),
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/RelayDaemon.kt
@@ -38,9 +38,11 @@
 import cassiaspindle.relay.request.RetryBudget
 import cassiaspindle.relay.request.RetryLimits
 import cassiaspindle.relay.route.BackEndSelector
+import cassiaspindle.relay.route.LimitShares
 import cassiaspindle.relay.route.LoadTable
 import cassiaspindle.relay.route.ReadinessTable
 import cassiaspindle.relay.route.RoutingState
+import cassiaspindle.relay.route.ShareHolder
 import cassiaspindle.schema.RelaySettings
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.peer.HostAndPort
@@ -269,7 +271,9 @@
     )
 
     private fun createRequestHandler(): RelayRequestHandler {
-        val readiness = ReadinessTable()
+        val shareHolder = ShareHolder(settings.peerAddress, settings.availabilityZone)
+        val limitShares = LimitShares(shareHolder, { fleetState.entries.entries }, fleetState.runners)
+        val readiness = ReadinessTable(limitShares::of)
         val loads = LoadTable()
         val entryCount =
             { maxOf(1, fleetState.entries.entries.count { it.availabilityZone == settings.availabilityZone }) }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/CallerRequest.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/protocol/CallerRequest.kt
@@ -84,7 +84,11 @@
 
     val isSuccess: Boolean get() = status in SUCCESS
 
+    /** Whether it is the refusal of another backend server than the intended one. */
+    val isMisdirected: Boolean get() = status == MISDIRECTED
+
     private companion object {
         val SUCCESS = 200..299
+        const val MISDIRECTED = 421
     }
 }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/BackEndSignals.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/BackEndSignals.kt
@@ -29,16 +29,17 @@
 
 /** Applies what the responses of backend servers state about their readiness, besides their announcements. */
 internal class BackEndSignals(private val dependencies: BackEndSignalDependencies) {
-    /** Handles the head of a response of [runner]; never blocks. */
-    fun observe(runner: RunnerNotice, head: BackEndResponseHead) {
+    /** Handles the head of a response of [runner] to an attempt that began at [startMilliseconds]; never blocks. */
+    fun observe(runner: RunnerNotice, head: BackEndResponseHead, startMilliseconds: Long) {
         head.requestedPause?.let { recordPause(runner, it) }
         if (head.isLeaving) recordLeaving(runner)
-        recordLimit(runner, head.namedLimit)
+        if (!head.isMisdirected) recordLimit(runner, head.namedLimit, startMilliseconds)
     }
 
     /** A response without a limit ends the one that was named before. */
-    private fun recordLimit(runner: RunnerNotice, limit: NamedLimit?) {
-        if (!dependencies.readiness.recordLimit(runner, limit)) return
+    private fun recordLimit(runner: RunnerNotice, limit: NamedLimit?, startMilliseconds: Long) {
+        if (!dependencies.readiness.recordLimit(runner, limit, startMilliseconds, dependencies.now())) return
+        dependencies.metrics.countEvent("runner_limit")
         dependencies.log.write(
             when {
                 limit == null -> "runner_limit_ended"
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/RelayExecution.kt
@@ -66,7 +66,7 @@
             else -> selector.select(routeRequest()).fold(
                 success = { attemptAt(it, remainingMilliseconds) },
                 failure = { reason ->
-                    val retryAfter = selector.retryAfterPauseMilliseconds(routeRequest())
+                    val retryAfter = selector.retryAfterMilliseconds(routeRequest())
                     stepWithoutBackEnd(reason, context, streamWriter != null, retryAfter)
                 },
             )
@@ -76,6 +76,8 @@
     private suspend fun attemptAt(choice: RouteChoice, remainingMilliseconds: Long): NextStep? {
         triedAddresses += choice.backEnd.address
         attempts++
+        val startMilliseconds = dependencies.now()
+        dependencies.readiness.recordStart(choice.backEnd, startMilliseconds)
         val attemptRoute = AttemptRoute(dependencies, relayed, choice, logger)
         currentAttemptRoute = attemptRoute
         val attempt = AttemptRequest(
@@ -83,7 +85,7 @@
             relayed.body,
             relayed.contextFor(choice, remainingMilliseconds, lastEventId),
             choice.backEnd.address,
-            { dependencies.signals.observe(choice.backEnd, it) },
+            { dependencies.signals.observe(choice.backEnd, it, startMilliseconds) },
             choice.chain
                 ?.let { chainSilenceTimeoutMilliseconds(admitted.route, dependencies.stallTimeoutMilliseconds) }
                 ?: silenceTimeoutMilliseconds(context),
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/request/AttemptDecision.kt
@@ -124,19 +124,20 @@
 }
 
 /**
- * Decides the step if no backend server was selected for the request, because of [reason]; [pauseMilliseconds] is the
- * time after which a paused one takes requests again.
+ * Decides the step if no backend server was selected for the request, because of [reason]; [retryMilliseconds] is the
+ * time after which a paused or limited one takes requests again.
  */
 fun stepWithoutBackEnd(
     reason: NoRoute,
     context: AttemptContext,
     isStreaming: Boolean,
-    pauseMilliseconds: Long? = null,
+    retryMilliseconds: Long? = null,
 ): NextStep = when {
     isStreaming -> NextStep.BreakOff
     context.mayHaveRun -> NextStep.GiveUp(ResultCode.BACK_END_LOST)
     reason == NoRoute.NO_ROOM -> NextStep.GiveUp(ResultCode.OVERLOADED)
-    reason == NoRoute.PAUSED -> NextStep.GiveUp(ResultCode.BACK_ENDS_PAUSED, pauseMilliseconds)
+    reason == NoRoute.PAUSED -> NextStep.GiveUp(ResultCode.BACK_ENDS_PAUSED, retryMilliseconds)
+    reason == NoRoute.LIMITED -> NextStep.GiveUp(ResultCode.BACK_ENDS_LIMITED, retryMilliseconds)
     else -> NextStep.GiveUp(ResultCode.NO_BACK_END)
 }
 
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndSelector.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/BackEndSelector.kt
@@ -59,6 +59,9 @@
 
     /** Those without which there is none have asked for a pause. */
     PAUSED,
+
+    /** The share of this entry VM in the limits that they name is used up. */
+    LIMITED,
 }
 
 /** The state on which a choice depends. */
@@ -78,11 +81,16 @@
 ) {
     private val fleets = ServiceFleets(routingState.runners)
     private val utilization = UtilizationEstimate(routingState.loads)
+    private val instances = InstanceSelector(routingState, availabilityZone, random)
 
     /** Returns the choice for [request], or the reason why there is none. */
     fun select(request: RouteRequest): Result<RouteChoice, NoRoute> {
         val engine = request.engine
-        return if (engine == null) selectInstance(request) else selectChain(request, engine)
+        return if (engine == null) {
+            instances.select(fleets.of(request.service).runners, request)
+        } else {
+            selectChain(request, engine)
+        }
     }
 
     /**
@@ -111,33 +119,16 @@
     }
 
     /**
-     * Time after which the caller of [request] may try again, in milliseconds: the first of the paused backend servers
-     * takes requests again then. A random part keeps callers from coming back together.
+     * Time after which the caller of [request] may try again, in milliseconds: the first of the paused or limited
+     * backend servers takes requests again then. A random part keeps callers from coming back together.
      */
-    fun retryAfterPauseMilliseconds(request: RouteRequest): Long {
+    fun retryAfterMilliseconds(request: RouteRequest): Long {
         val shortest = fleets.of(request.service).runners
-            .mapNotNull { readinessOf(it, request) as? Readiness.Paused }
-            .minOfOrNull { it.untilMilliseconds - request.nowMilliseconds } ?: 0
+            .mapNotNull { readinessOf(it, request).endMilliseconds }
+            .minOfOrNull { it - request.nowMilliseconds } ?: 0
         return shortest + random((shortest / RETRY_SPREAD_DIVISOR).toInt() + 1)
     }
 
-    private fun selectInstance(request: RouteRequest): Result<RouteChoice, NoRoute> {
-        val untried = fleets.of(request.service).runners.filter { it.address !in request.triedAddresses }
-        val unpaused = untried.filterNot { readinessOf(it, request) is Readiness.Paused }
-        val available = unpaused.filter { readinessOf(it, request) == Readiness.Ready }.ifEmpty { unpaused }
-        return available
-            .map {
-                Candidate(
-                    it,
-                    routingState.loads.loadOf(it.id, request.nowMilliseconds).requests,
-                    random(Int.MAX_VALUE),
-                )
-            }
-            .minWithOrNull(compareBy({ it.load }, { it.runner.availabilityZone != availabilityZone }, { it.tieBreak }))
-            ?.let { Ok(RouteChoice(it.runner, chain = null)) }
-            ?: Err(if (untried.isEmpty()) NoRoute.NO_BACK_END else NoRoute.PAUSED)
-    }
-
     private fun selectChain(request: RouteRequest, engine: EngineDescription): Result<RouteChoice, NoRoute> {
         val zones = fleets.of(request.service).zones.mapValues { (_, runners) ->
             runners.filterNot { it.address in request.triedAddresses || isAvoided(it, request) }
@@ -145,10 +136,12 @@
         val entryCount = routingState.entryCount()
         val utilizations = zones.values.flatten().associate { it.id to utilization.of(it, request, engine, entryCount) }
         val withCapacity = zones.mapValues { (_, runners) -> runners.filter { utilizations.getValue(it.id) <= 1 } }
-        val chain = bestChain(withCapacity, engine, utilizations)
+        val mayStart: StartCondition = { readinessOf(it, request) !is Readiness.Limited }
+        val chain = bestChain(withCapacity, engine, utilizations, mayStart)
         return when {
             chain != null -> Ok(RouteChoice(chain.first, chain))
-            bestChain(zones, engine, utilizations) != null -> Err(NoRoute.NO_ROOM)
+            bestChain(zones, engine, utilizations, mayStart) != null -> Err(NoRoute.NO_ROOM)
+            bestChain(zones, engine, utilizations) != null -> Err(NoRoute.LIMITED)
             else -> Err(reasonWithoutChain(request, engine))
         }
     }
@@ -166,14 +159,16 @@
         zones: Map<String, List<RunnerNotice>>,
         engine: EngineDescription,
         utilizations: Map<String, Double>,
+        mayStart: StartCondition = { true },
     ): LayerChain? {
-        val local = cheapestChain(zones[availabilityZone].orEmpty(), engine, utilizations)
+        val find = { runners: List<RunnerNotice> -> cheapestChain(runners, engine, utilizations, mayStart = mayStart) }
+        val local = find(zones[availabilityZone].orEmpty())
         val isLocalPreferred = local != null && local.utilization(utilizations) <= OTHER_ZONE_UTILIZATION_MARGIN
         val otherZones = if (isLocalPreferred) emptyList() else zones.minus(availabilityZone).values
-        val complete = listOfNotNull(local) + otherZones.mapNotNull { cheapestChain(it, engine, utilizations) }
+        val complete = listOfNotNull(local) + otherZones.mapNotNull(find)
         return complete.minByOrNull { chain ->
             chain.utilization(utilizations) + if (chain === local) 0.0 else OTHER_ZONE_UTILIZATION_MARGIN
-        } ?: cheapestChain(zones.values.flatten(), engine, utilizations)
+        } ?: find(zones.values.flatten())
     }
 
     private fun cheapestChain(
@@ -181,18 +176,20 @@
         engine: EngineDescription,
         utilizations: Map<String, Double>,
         layers: LayerRange = LayerRange(0, engine.layers),
-    ) = findChain(runners, engine, layers) { runner ->
+        mayStart: StartCondition = { true },
+    ) = findChain(runners, engine, layers, mayStart) { runner ->
         val jitter = random(JITTER_STEPS) * MAXIMUM_JITTER_COST_MILLISECONDS / JITTER_STEPS
         utilizations.getValue(runner.id) * FULL_UTILIZATION_COST_MILLISECONDS + jitter
     }
 
-    private fun isAvoided(runner: RunnerNotice, request: RouteRequest) =
-        readinessOf(runner, request) != Readiness.Ready
+    /** A limit concerns the requests that a runner receives, not those that it processes later in a chain. */
+    private fun isAvoided(runner: RunnerNotice, request: RouteRequest) = when (readinessOf(runner, request)) {
+        Readiness.Ready, is Readiness.Limited -> false
+        Readiness.Avoided, is Readiness.Paused -> true
+    }
 
     private fun readinessOf(runner: RunnerNotice, request: RouteRequest): Readiness =
         routingState.readiness.readinessOf(runner, request.nowMilliseconds)
-
-    private data class Candidate(val runner: RunnerNotice, val load: Int, val tieBreak: Int)
 }
 
 /** Utilization of the runner in the chain that is utilized most. */
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/route/LayerChain.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/route/LayerChain.kt
@@ -26,17 +26,21 @@
     val first: RunnerNotice get() = hops.first().runner
 }
 
+/** Whether a request may be sent to a runner. */
+typealias StartCondition = (RunnerNotice) -> Boolean
+
 /** Additional cost of a hop over a runner, in milliseconds per token; grows with the load of the runner. */
 typealias HopCost = (RunnerNotice) -> Double
 
 /**
  * Finds the chain over [runners] with the lowest cost. Returns null if a layer of [layers] is missing or if the chain
- * would be too long. [hopCost] is called once for each runner.
+ * would be too long. [hopCost] is called once for each runner; [mayStart] tells which ones may be the first.
  */
 fun findChain(
     runners: List<RunnerNotice>,
     engine: EngineDescription,
     layers: LayerRange = LayerRange(0, engine.layers),
+    mayStart: StartCondition = { true },
     hopCost: HopCost = { 0.0 },
 ): LayerChain? {
     val candidates =
@@ -47,7 +51,8 @@
     val best = mutableMapOf(layers.first to PartialChain(0.0, null, null))
     for (from in boundaries) {
         val partial = best[from] ?: continue
-        candidates.filter { from in it.layers && !partial.uses(it.runner) }
+        candidates
+            .filter { from in it.layers && !partial.uses(it.runner) && (partial.hop != null || mayStart(it.runner)) }
             .flatMap { candidate -> extensions(partial, from, candidate, boundaries, engine) }
             .forEach { best.merge(it.end, it, ::cheaper) }
     }
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/route/BackEndSelectorTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/route/BackEndSelectorTest.kt
@@ -62,7 +62,7 @@
         selectedId(request(model = false)) shouldBe "b1"
         pause("b1")
         selector.select(request(model = false)).getError() shouldBe NoRoute.PAUSED
-        selector.retryAfterPauseMilliseconds(request(model = false, at = 500)) shouldBeInRange 1_500L..1_875L
+        selector.retryAfterMilliseconds(request(model = false, at = 500)) shouldBeInRange 1_500L..1_875L
         selectedId(request(model = false, at = 2_000)) shouldBe "a1"
     }
 
--- a/decision/relay/src/test/kotlin/cassiaspindle/relay/route/ReadinessTableTest.kt
+++ b/decision/relay/src/test/kotlin/cassiaspindle/relay/route/ReadinessTableTest.kt
@@ -51,5 +51,55 @@
         RequestedPause("1e9", milliseconds = 1_000_000_000_000).grantedMilliseconds shouldBe 300_000
     }
 
+    @Test
+    fun `a limit takes effect with the first answer and leaves nothing saved up`() {
+        name("first", "4", at = 0)
+        readinessOf("first", 0) shouldBe Readiness.Limited(untilMilliseconds = 250)
+        val starts = (0L..4_000L step 10).count { now ->
+            (readinessOf("first", now) == Readiness.Ready).also { if (it) readiness.recordStart(runner("first"), now) }
+        }
+        starts shouldBe 16
+    }
+
+    @Test
+    fun `a pause in the requests saves up those of one second at most`() {
+        name("saved", "4", at = 0)
+        val starts = (1..20).count {
+            (readinessOf("saved", 60_000) == Readiness.Ready).also { if (it) readiness.recordStart(runner("saved"), 60_000) }
+        }
+        starts shouldBe 4
+    }
+
+    @Test
+    fun `a limit ends with the answer without one to a later request, not to an earlier one`() {
+        name("ends", "0", at = 100)
+        endLimit("ends", start = 50, at = 200) shouldBe false
+        readinessOf("ends", 300) shouldBe Readiness.Limited(untilMilliseconds = 4_100)
+        endLimit("ends", start = 150, at = 400) shouldBe true
+        readinessOf("ends", 400) shouldBe Readiness.Ready
+    }
+
+    @Test
+    fun `the next process at the same address has no limit, and one that can't be read changes nothing`() {
+        name("next", "0", at = 0)
+        readiness.recordLimit(runner("next"), NamedLimit("many", requestsPerSecond = null), 1, 1)
+        readinessOf("next", 2) shouldBe Readiness.Limited(untilMilliseconds = 4_000)
+        val next = runner("next").let { it.copy(bornMilliseconds = it.bornMilliseconds + 1) }
+        readiness.readinessOf(next, nowMilliseconds = 2) shouldBe Readiness.Ready
+    }
+
+    @Test
+    fun `a limit that changes counts from the answer that names it`() {
+        name("changed", "0.5", at = 0)
+        name("changed", "10", at = 100)
+        readinessOf("changed", 150) shouldBe Readiness.Limited(untilMilliseconds = 200)
+        readinessOf("changed", 200) shouldBe Readiness.Ready
+    }
+
+    private fun endLimit(id: String, start: Long, at: Long) = readiness.recordLimit(runner(id), limit = null, start, at)
+
+    private fun name(id: String, limit: String, at: Long) =
+        readiness.recordLimit(runner(id), NamedLimit(limit, limit.toDouble()), at, at)
+
     private fun readinessOf(id: String, nowMilliseconds: Long) = readiness.readinessOf(runner(id), nowMilliseconds)
 }
