--- a/command/src/main/kotlin/cassiaspindle/command/measure/HistoryMeasurements.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/HistoryMeasurements.kt
@@ -2,6 +2,8 @@
 
 import cassiaspindle.history.control.ControlSimulation
 import cassiaspindle.history.crash.CrashSimulation
+import cassiaspindle.history.freshness.FreshnessSimulation
+import cassiaspindle.history.limit.LimitSimulation
 import cassiaspindle.history.request.RequestSimulation
 
 private const val HISTORIES_PER_ROW = 1_000L
@@ -27,6 +29,20 @@
         HistoryResult(result.violations, result.answered)
     }
 
+/** Simulates random histories of entry VMs that read configurations; none may use an old one for long. */
+internal fun measureFreshnessHistories(options: MeasurementOptions, print: RowPrinter): MeasurementResult =
+    measureHistories(options, print) { seed ->
+        val result = FreshnessSimulation(seed).run()
+        HistoryResult(listOfNotNull(result.violation), result.acknowledgedVersions)
+    }
+
+/** Simulates random histories of backend servers that name limits; none may get more requests. */
+internal fun measureLimitHistories(options: MeasurementOptions, print: RowPrinter): MeasurementResult =
+    measureHistories(options, print) { seed ->
+        val result = LimitSimulation(seed).run()
+        HistoryResult(listOfNotNull(result.violation), result.countedArrivals.toInt())
+    }
+
 private fun measureHistories(
     options: MeasurementOptions,
     print: RowPrinter,
