Take back that only current replicas acknowledge announcements

Suspected: while the core has no leader yet, no replica acknowledges, so that runners fall silent. Wanted next: acknowledge where a majority of the replicas is connected, with or without a leader.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ControlPlaneService.kt
@@ -116,7 +116,7 @@
     }
 
     /** Publishes a notice about a backend server to the entry VMs that follow this replica. */
-    val publishNotice: (RunnerNotice) -> Unit = { publisher.receiveNotice(it) }
+    val publishNotice: (RunnerNotice) -> Unit get() = publisher::receiveNotice
 
     /** Whether the replica of this process is the leader. */
     fun isLeader(): Boolean = supervisor.replica?.driver?.controlReplica?.reads?.isLeader() ?: false
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaFrameHandler.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/ReplicaFrameHandler.kt
@@ -31,8 +31,8 @@
         frame.fleetNews?.let(publisher::receiveRelay)
         frame.crashEvidence?.let(publisher::receiveEvidence)
         frame.runnerNotice?.let {
-            val reply = PeerFrame(PeerFrameKind.RUNNER_NOTICE_REPLY, correlation = frame.correlation)
-            if (publisher.receiveNotice(it)) connection.send(reply)
+            publisher.receiveNotice(it)
+            connection.send(PeerFrame(PeerFrameKind.RUNNER_NOTICE_REPLY, correlation = frame.correlation))
         }
         frame.command?.let { command ->
             replica.driver.submit(command) { outcome, leader -> connection.send(commandReply(frame, outcome, leader)) }
--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/fleet/FleetPublisher.kt
@@ -103,15 +103,10 @@
         relayed.runners.forEach(fleetState::applyNotice)
     }
 
-    /**
-     * Applies a notice of a backend server, or of an entry VM that found one silent; followers get each change. Returns
-     * whether it may be acknowledged: a replica that may be cut off can't pass it on to the leader, whose lease on the
-     * backend server would run out while no other entry VM hears of it.
-     */
-    fun receiveNotice(notice: RunnerNotice): Boolean {
+    /** Applies a notice of a backend server, or of an entry VM that found one silent; followers get each change. */
+    fun receiveNotice(notice: RunnerNotice) {
         fleetState.applyNotice(if (notice.state == RunnerState.SILENT) silentNoticeOf(notice) else notice)
         if (notice.isUsable) fleetRelay.add(notice)
-        return environment.knowledge().isCurrent
     }
 
     /**
--- a/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
+++ b/decision/relay/src/main/kotlin/cassiaspindle/relay/fleet/EntryUpdates.kt
@@ -18,10 +18,7 @@
     val hasLeader: Boolean,
     /** Age of the time before which all changes are applied at it, in milliseconds, or null if unknown. */
     val confirmedAgeMilliseconds: Long?,
-) {
-    /** Whether it was lately in contact with a leader that a quorum follows. */
-    val isCurrent: Boolean get() = hasLeader && isConfirmedAge(confirmedAgeMilliseconds)
-}
+)
 
 /** What a control replica sends to an entry VM that reported. */
 data class EntryUpdate(
@@ -81,7 +78,7 @@
 
     /** Adds to [news] how current this replica is; [answered] is the report that they answer, or null. */
     fun stamp(news: FleetNews, knowledge: ReplicaKnowledge, answered: EntryPresence?): FleetNews = news.copy(
-        hearsLeader = knowledge.isCurrent,
+        hearsLeader = knowledge.hasLeader && isConfirmedAge(knowledge.confirmedAgeMilliseconds),
         confirmedAgeMilliseconds = knowledge.confirmedAgeMilliseconds,
         answeredMilliseconds = answered?.sentMilliseconds ?: 0,
         configurationVersion = knowledge.configuration?.version ?: 0,
