Wait for the call before its caller disconnects in RelayServerTest

Cause: the test wrote a request, slept 100 ms and disconnected. On a cold JVM the handler may be reached later; a call whose caller has left by then is not served at all, as documented, and nothing counted the disconnect. Change: the test waits until the handler has the call, then sleeps the same 100 ms and checks the same two things. Nothing else is checked less.

--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -30,6 +30,7 @@
     private val port = ServerSocket(0).use { it.localPort }
     private val head = ResponseHead(200, "OK", emptyList())
     private val selector = newSelector()
+    private val waitingCallReceived = CountDownLatch(1)
     private val callerDisconnected = CountDownLatch(1)
     private val server = RelayServer.start(
         mapOf(HostAndPort("127.0.0.1", port) to ::serve),
@@ -51,6 +52,7 @@
     }
 
     private suspend fun awaitDisconnect(): Nothing = try {
+        waitingCallReceived.countDown()
         awaitCancellation()
     } catch (cancellation: CancellationException) {
         callerDisconnected.countDown()
@@ -90,6 +92,7 @@
     fun `a call is cancelled when its caller disconnects, also with Connection close`() {
         Socket("127.0.0.1", port).use { socket ->
             socket.getOutputStream().write("GET /wait HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".toByteArray())
+            waitingCallReceived.await(5, TimeUnit.SECONDS) shouldBe true
             Thread.sleep(100)
             withClue("cancelled while the caller waits") { callerDisconnected.count shouldBe 1 }
         }
