Read a first frame of a few kilobytes only before the key is compared

What callers saw: the relaying entry VM ended with OutOfMemoryError once 200 strangers had connected to its first internal port, half of them with a frame of 4 MB; every request on that machine ended with it. Cause: FrameCodec.readFrame took up to maximumMessageBytes from anybody before the key was compared, and Ktor's read channel takes up to 1 MB of a sender whose bytes nobody reads. Connections without a key were not counted. Change: the first frame may have 4,096 bytes; a peer connection reads its socket where the frame is wanted and so takes no more than that frame; at most 512 connections, or an eighth of the descriptors, wait for their key, and a new one displaces the one that has waited longest. The socket channels move from transport/relay to transport/peer, which both use. Why it works: a stranger costs one segment of 8 KB and a descriptor, both bounded; a process of the system sends its key at once. The crowd moves to the stand-ins, so that both programs are tested with it.

--- a/standin/src/main/kotlin/cassiaspindle/standin/crowd/CallerCrowd.kt
+++ b/standin/src/main/kotlin/cassiaspindle/standin/crowd/CallerCrowd.kt
@@ -1,31 +1,29 @@
-package cassiaspindle.platform
+package cassiaspindle.standin.crowd
 
-import io.kotest.assertions.withClue
-import io.kotest.matchers.ints.shouldBeLessThan
-import io.kotest.matchers.shouldBe
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.nio.ByteBuffer
 import java.nio.channels.SocketChannel
 
-/** What a caller sends: [first] once, [repeated] as often as [repetitions] says, and [last] once. */
+/** What a caller sends: [first] once, [repeated] as often as [repetitions] says, and [last] once; in Latin-1. */
 data class CallerScript(val first: String, val repeated: String, val repetitions: Int, val last: String) {
     /** All bytes of the script. */
-    fun toBytes(): ByteArray = (first + repeated.repeat(repetitions) + last).toByteArray()
+    fun toBytes(): ByteArray = (first + repeated.repeat(repetitions) + last).toByteArray(Charsets.ISO_8859_1)
 }
 
-/** Callers that send their scripts as fast as they are read, and stay connected. */
+/** Callers that send their scripts to [address] as fast as they are read, and stay connected. */
 class CallerCrowd(address: String, scripts: List<CallerScript>) : AutoCloseable {
     private val target = InetSocketAddress(address.substringBefore(':'), address.substringAfter(':').toInt())
     private val callers = scripts.distinct().associateWith { ByteBuffer.wrap(it.toBytes()) }
         .let { texts -> scripts.mapNotNull { script -> connect(texts.getValue(script).duplicate()) } }
 
-    /** Sends until all scripts are sent or the entry VM has read nothing for some time. */
-    fun send() {
+    /** Sends until all scripts are sent or the other side has read nothing for some time; [onRound] runs repeatedly. */
+    fun send(onRound: () -> Unit = {}) {
         var quietRounds = 0
         while (quietRounds < QUIET_ROUNDS && callers.any { it.isSending }) {
             val count = callers.sumOf { it.send() }
             quietRounds = if (count > 0) 0 else quietRounds + 1
+            onRound()
             if (count == 0) Thread.sleep(PAUSE_MILLISECONDS)
         }
     }
@@ -56,15 +54,3 @@
         const val PAUSE_MILLISECONDS = 50L
     }
 }
-
-/** Fails unless [process] outlives the [scripts], stays within memory and descriptors and answers afterwards. */
-fun requireSurvival(process: EntryProcess, scripts: List<CallerScript>, maximumDescriptors: Int) {
-    CallerCrowd(process.callerAddress, scripts).use { crowd ->
-        crowd.send()
-        val answers = process.isAlive && process.answersOrdinaryRequest()
-        withClue("the process lives; end of its log: ${process.logEnd}") { process.isAlive shouldBe true }
-        withClue("an ordinary request is answered; end of the log: ${process.logEnd}") { answers shouldBe true }
-        process.openDescriptors shouldBeLessThan maximumDescriptors
-        process.peakMemoryKilobytes shouldBeLessThan EntryProcess.MAXIMUM_MEMORY_KILOBYTES
-    }
-}
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerClient.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerClient.kt
@@ -58,7 +58,7 @@
     }
 
     private suspend fun runConnection(socket: Socket) {
-        val connection = PeerConnection(socket, settings, PeerSide.CLIENT)
+        val connection = PeerConnection(socket, selector, settings, PeerSide.CLIENT)
         try {
             connection.writeAndFlush(PeerFrame(PeerFrameKind.HELLO, sender = settings.name, key = settings.key))
             currentConnection.set(connection)
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
@@ -8,8 +8,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
@@ -23,6 +23,9 @@
 private const val QUEUE_CAPACITY_FRAMES = 4_096
 private const val FIRST_FRAME_TIMEOUT_MILLISECONDS = 1_500L
 
+/** Maximum size of the first frame, which holds a name and the key, in bytes. */
+private const val MAXIMUM_FIRST_FRAME_BYTES = 4_096
+
 private val lastNumber = AtomicLong()
 
 /** Sent on an idle connection; after the first frame of a connection, hello frames carry nothing. */
@@ -40,12 +43,15 @@
 /** A connection between two processes of the system. */
 class PeerConnection internal constructor(
     private val socket: Socket,
+    selector: SelectorManager,
     private val settings: PeerSettings,
     private val side: PeerSide,
 ) {
     /** Differs from that of every other connection of this process. */
     val number: Long = lastNumber.incrementAndGet()
-    private val input = socket.openReadChannel()
+
+    /** Reads no more than the next frame needs: Ktor's own channel takes up to 1 MB of a sender that has no key. */
+    private val input = SocketReadChannel(socket, selector)
     private val output = socket.openWriteChannel(autoFlush = false)
     private val queue = Channel<OutgoingFrame>(QUEUE_CAPACITY_FRAMES)
     private val activity = ConnectionActivity(
@@ -58,9 +64,9 @@
     /** Like [send], for a frame that may also go to other connections. */
     fun sendShared(frame: OutgoingFrame): Boolean = queue.trySend(frame).isSuccess
 
-    /** Reads the first frame; fails if none arrives in time. */
+    /** Reads the first frame; fails if none arrives in time or if it is longer than a first frame can be. */
     internal suspend fun readFirst(): Result<PeerFrame, Failure> =
-        withTimeoutOrNull(FIRST_FRAME_TIMEOUT_MILLISECONDS) { input.readFrame(settings.maximumMessageBytes) }
+        withTimeoutOrNull(FIRST_FRAME_TIMEOUT_MILLISECONDS) { input.readFrame(MAXIMUM_FIRST_FRAME_BYTES) }
             ?: Err(Failure(ResultCode.BACK_END_LOST, "no frame within the time limit"))
 
     /** Writes queued frames and passes received ones to [onFrame] until a failure, such as silence of the peer. */
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -21,17 +21,21 @@
 /** Handlers of a peer server; they must not block. */
 data class PeerHandlers(
     val onFrame: (connection: PeerConnection, frame: PeerFrame) -> Unit,
-    /** Receives the reason of each refused message. */
+    /** Receives the reason of each refused message or connection. */
     val onRefused: (Failure) -> Unit,
 )
 
 /** Accepts connections from processes of the system; the first frame must contain the key. */
 class PeerServer private constructor(
     private val socket: ServerSocket,
+    private val selector: SelectorManager,
     private val settings: PeerSettings,
     private val handlers: PeerHandlers,
 ) {
     private val connections = CopyOnWriteArrayList<PeerConnection>()
+    private val pendingConnections = PendingConnections(settings.maximumPendingConnections) {
+        handlers.onRefused(Failure(ResultCode.OVERLOADED, "too many connections without a key"))
+    }
 
     /** Queues [frame] on every connection. */
     fun broadcast(frame: PeerFrame) {
@@ -45,8 +49,11 @@
         connections.forEach(PeerConnection::close)
     }
 
-    private suspend fun serve(accepted: Socket) {
-        val connection = PeerConnection(accepted, settings, PeerSide.SERVER)
+    /** Bounds the connections without a key in the loop that accepts them, which outruns the others. */
+    private fun accept(accepted: Socket): PeerConnection =
+        PeerConnection(accepted, selector, settings, PeerSide.SERVER).also(pendingConnections::add)
+
+    private suspend fun serve(connection: PeerConnection) {
         try {
             if (authenticate(connection)) {
                 connections += connection
@@ -55,6 +62,7 @@
         } catch (exception: IOException) {
             Logger.debug { "event=peer_connection_ended reason=${exception.javaClass.simpleName}" }
         } finally {
+            pendingConnections.remove(connection)
             connections -= connection
             connection.close()
         }
@@ -67,7 +75,9 @@
             hello == null -> result.getError()
             hello.kind == PeerFrameKind.HELLO && settings.matchesKey(hello.key) -> null
             else -> Failure(ResultCode.UNAUTHENTICATED)
-        } ?: return true
+        }
+        pendingConnections.remove(connection)
+        if (failure == null) return true
         reportRefusal(failure)
         val outcome = CommandOutcome(failure.code.number)
         connection.writeAndFlush(PeerFrame(PeerFrameKind.REFUSED, outcome = outcome))
@@ -93,8 +103,13 @@
             val socket = runBlocking {
                 aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
             }
-            val server = PeerServer(socket, settings, handlers)
-            scope.launch { socket.acceptEach { accepted -> scope.launch { server.serve(accepted) } } }
+            val server = PeerServer(socket, selector, settings, handlers)
+            scope.launch {
+                socket.acceptEach { accepted ->
+                    val connection = server.accept(accepted)
+                    scope.launch { server.serve(connection) }
+                }
+            }
             return server
         }
     }
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerSettings.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerSettings.kt
@@ -2,6 +2,11 @@
 
 import cassiaspindle.core.identity.Digest
 
+/** More than there are processes that could connect to a replica at the same moment. */
+private const val MAXIMUM_PENDING_CONNECTIONS = 512
+
+/** Divisor for the part of the descriptors that connections without a key may take. */
+private const val PENDING_DESCRIPTOR_DIVISOR = 8
 private const val DEFAULT_PING_INTERVAL_MILLISECONDS = 500L
 
 /** The longest ping interval that a client may use, in milliseconds. */
@@ -22,6 +27,8 @@
      * [MAXIMUM_PING_INTERVAL_MILLISECONDS]. The server replies to each ping.
      */
     val pingIntervalMilliseconds: Long = DEFAULT_PING_INTERVAL_MILLISECONDS,
+    /** Connections at the same time that have not sent the key yet. */
+    val maximumPendingConnections: Int = derivedPendingConnections(),
 ) {
     /** Whether [candidate] is the key; compares in constant time. */
     fun matchesKey(candidate: String?): Boolean =
@@ -30,6 +37,9 @@
     override fun toString(): String = "PeerSettings(name=$name)"
 }
 
+private fun derivedPendingConnections(): Int =
+    minOf(MAXIMUM_PENDING_CONNECTIONS, (descriptorLimit() / PENDING_DESCRIPTOR_DIVISOR).coerceAtLeast(1).toInt())
+
 data class HostAndPort(val host: String, val port: Int) {
     override fun toString(): String = "$host:$port"
 
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/SocketChannels.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/SocketChannels.kt
@@ -1,4 +1,4 @@
-package cassiaspindle.transport.relay
+package cassiaspindle.transport.peer
 
 import io.ktor.network.selector.SelectInterest
 import io.ktor.network.selector.Selectable
@@ -26,7 +26,7 @@
  * A read that was cancelled can't be repeated: Ktor's selector keeps its registration. The next one fails.
  */
 @OptIn(InternalAPI::class, UnsafeIoApi::class)
-internal class SocketReadChannel(socket: Socket, selector: SelectorManager) : ByteReadChannel {
+class SocketReadChannel(socket: Socket, selector: SelectorManager) : ByteReadChannel {
     private val readiness = SocketReadiness(socket, selector, SelectInterest.READ)
     private val received = Buffer()
     private var isEnded = false
@@ -79,7 +79,7 @@
 
 /** Writes a socket in the coroutine that flushes, for the same reason as [SocketReadChannel]. */
 @OptIn(InternalAPI::class, UnsafeIoApi::class)
-internal class SocketWriteChannel(socket: Socket, selector: SelectorManager) : ByteWriteChannel {
+class SocketWriteChannel(socket: Socket, selector: SelectorManager) : ByteWriteChannel {
     private val readiness = SocketReadiness(socket, selector, SelectInterest.WRITE)
     private val pending = Buffer()
 
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.transport.relay
 
+import cassiaspindle.transport.peer.SocketWriteChannel
 import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.Request
 import io.ktor.http.cio.parseRequest
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.transport.relay
 
+import cassiaspindle.transport.peer.SocketReadChannel
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.cio.ParserException
