Count a caller's connection in the loop that accepts it

What callers saw: an entry VM with 400 descriptors ended while 500 callers connected and stayed silent: it could open no file any more, a class could not be loaded, and its main thread ended with NoClassDefFoundError. Cause: connections were counted, and those beyond the bound closed, in a coroutine of their own. The loop that accepts them outruns these coroutines, so that all descriptors were taken for a moment. The trace names SettingsReader and ControlReplica.prepareStop. Change: the loop counts a connection and closes it at once if there are too many. Why it works: a connection that is not admitted is closed before the next one is accepted.

--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
@@ -43,19 +43,26 @@
     }
 
     private fun accept(socket: ServerSocket, handler: CallHandler) = scope.launch {
-        socket.acceptEach { accepted -> scope.launch { serve(accepted, handler) } }
+        socket.acceptEach { accepted ->
+            val address = addressOf(accepted)
+            if (admit(accepted, address)) scope.launch { serve(accepted, address, handler) }
+        }
     }
 
-    private suspend fun serve(socket: Socket, handler: CallHandler) {
-        val address = addressOf(socket)
+    /**
+     * Counts a connection from [address]; closes it and returns false if there are too many. That happens in the loop
+     * that accepts them: until another coroutine closed it, it would hold a descriptor beyond the bound.
+     */
+    private fun admit(accepted: Socket, address: String): Boolean {
         val verdict = connections.add(address)
         verdict.bound?.let { guard.onBound(it, address) }
-        if (!verdict.isAccepted) {
-            socket.close()
-            return
-        }
+        if (!verdict.isAccepted) accepted.close()
+        return verdict.isAccepted
+    }
+
+    private suspend fun serve(accepted: Socket, address: String, handler: CallHandler) {
         try {
-            val connection = CallerConnection(socket, selector, address, guard, handler)
+            val connection = CallerConnection(accepted, selector, address, guard, handler)
             connections.serve(address, connection)
         } finally {
             connections.remove(address)
