Run the own interface on bounded connections

What callers saw: 300 clients ended an entry VM or a control replica (launcher defaults, 48 MB of heap) with OutOfMemoryError, and callers and operators got no answer any more: bodies just short of 1 MB with any key or none, heads of 15,000 lines of four bytes, blank lines without end, bodies far over the limit. Cause: the server of transport/http was Ktor's CIO engine, which keeps every header line and blank line, buffers up to 1 MB of each connection, and counts neither; only the size of one body was limited. Evidence: UntrustedClientsTest starts both programs as processes. Change: BoundedEngine runs Ktor's application on the connections of RelayServer, whose guard reserves heads, bodies and read-ahead before they are taken and bounds connections. clientLimits in the settings holds the bounds; a refusal is an ErrorAnswer with NOT_RUN. A body that no route reads is discarded instead of held. Why it works: nothing of a client is kept without a reservation in a budget that follows from the heap, and a crowd that fills a budget is ended before an ordinary request is refused.

--- a/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
+++ b/daemon/control/src/main/kotlin/cassiaspindle/daemon/control/ControlDaemon.kt
@@ -18,6 +18,7 @@
 import cassiaspindle.transport.http.operator.controlRoutes
 import cassiaspindle.transport.http.server.HttpServer
 import cassiaspindle.transport.http.server.Metrics
+import cassiaspindle.transport.http.server.newClientGuard
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerClient
 import cassiaspindle.transport.peer.PeerHandlers
@@ -97,9 +98,11 @@
         scope,
         PeerHandlers(PeerFrameHandler(driver, bootstrapCoordinator)::receive, onRefused = { metrics.count(it.code) }),
     )
-    private val httpServer = HostAndPort.parse(ownAddress.operatorAddress).let { address ->
-        val operatorHandler = OperatorRequestHandler(settings, environment, metrics, driver)
-        HttpServer.start(address.host, address.port, metrics) { controlRoutes(operatorHandler.handlers()) }
+    private val operatorHandler = OperatorRequestHandler(settings, environment, metrics, driver)
+    private val clientGuard =
+        newClientGuard(settings.clientLimits, metrics, environment.clock.monotonicMilliseconds)
+    private val httpServer = HttpServer.start(HostAndPort.parse(ownAddress.operatorAddress), metrics, clientGuard) {
+        controlRoutes(operatorHandler.handlers())
     }
 
     /** Whether this replica is the leader of the group of the service documents, with a valid lease. */
--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
@@ -14,6 +14,7 @@
 import cassiaspindle.transport.http.operator.EntryOperatorHandlers
 import cassiaspindle.transport.http.operator.entryOperatorRoutes
 import cassiaspindle.transport.http.server.HttpServer
+import cassiaspindle.transport.http.server.newClientGuard
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.PeerSettings
 import cassiaspindle.transport.peer.newSelector
@@ -66,7 +67,8 @@
     private val operatorHandlers = EntryOperatorHandlers(environment.keys.operator, components.metrics, ::drain)
     private val drained = CountDownLatch(1)
     private val listenEndpoint = HostAndPort.parse(settings.listenAddress)
-    private val httpServer = HttpServer.start(listenEndpoint.host, listenEndpoint.port, components.metrics) {
+    private val clientGuard = newClientGuard(settings.clientLimits, components.metrics, components::now)
+    private val httpServer = HttpServer.start(listenEndpoint, components.metrics, clientGuard) {
         callerRoutes(callerHandler.handlers())
         backEndRoutes(BackEndRequestHandler(components).handlers())
         entryOperatorRoutes(operatorHandlers)
--- a/standin/src/main/kotlin/cassiaspindle/standin/application/StandInPlainService.kt
+++ b/standin/src/main/kotlin/cassiaspindle/standin/application/StandInPlainService.kt
@@ -9,9 +9,8 @@
 import cassiaspindle.standin.announce.Announcer
 import cassiaspindle.standin.announce.StandInSettings
 import cassiaspindle.standin.model.FleetRecorder
+import cassiaspindle.standin.server.StandInServer
 import cassiaspindle.transport.http.client.AnnouncementClient
-import cassiaspindle.transport.http.server.HttpServer
-import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.http.server.readMessage
 import cassiaspindle.transport.http.server.respondFailure
 import cassiaspindle.transport.http.server.respondJson
@@ -40,7 +39,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val losesAnswers = AtomicBoolean(false)
     private val runningCount = AtomicInteger()
-    private val server = HttpServer.start("127.0.0.1", 0, Metrics()) { routes() }
+    private val server = StandInServer.start { routes() }
     private val announcer = Announcer(client, settings.entryAddresses, ::announcement, runningCount::get)
 
     /** Starts announcing the plain service. */
--- a/standin/src/main/kotlin/cassiaspindle/standin/runner/StandInRunner.kt
+++ b/standin/src/main/kotlin/cassiaspindle/standin/runner/StandInRunner.kt
@@ -17,9 +17,8 @@
 import cassiaspindle.standin.announce.Announcer
 import cassiaspindle.standin.announce.StandInSettings
 import cassiaspindle.standin.model.FleetRecorder
+import cassiaspindle.standin.server.StandInServer
 import cassiaspindle.transport.http.client.AnnouncementClient
-import cassiaspindle.transport.http.server.HttpServer
-import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.http.server.readMessage
 import cassiaspindle.transport.http.server.respondFailure
 import cassiaspindle.transport.http.server.respondJson
@@ -59,7 +58,7 @@
     private val isLeaving = AtomicBoolean(false)
     private val runningCount = AtomicInteger()
     private val highestFencingNumber = AtomicLong()
-    private val server = HttpServer.start("127.0.0.1", 0, Metrics()) { routes() }
+    private val server = StandInServer.start { routes() }
     private val announcer = Announcer(client, settings.entryAddresses, ::announcement, runningCount::get)
 
     /** Name of the runner. */
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/ApplicationCalls.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/ApplicationCalls.kt
@@ -6,6 +6,7 @@
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
 import cassiaspindle.schema.ErrorAnswer
+import cassiaspindle.transport.http.server.engine.BOUNDED_CALL
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
@@ -41,10 +42,16 @@
 
 /** Reads the body as text of at most [maximumBytes]; enforces the limit before anything is parsed. */
 suspend fun ApplicationCall.readBodyText(maximumBytes: Int): Result<String, Failure> {
+    val boundedCall = attributes.getOrNull(BOUNDED_CALL)
+    val bytes = if (boundedCall == null) readChannel(maximumBytes) else boundedCall.readBody(maximumBytes)
+    return bytes.flatMap(::decodeText)
+}
+
+private suspend fun ApplicationCall.readChannel(maximumBytes: Int): Result<ByteArray, Failure> {
     val declaredBytes = request.contentLength() ?: 0
     if (declaredBytes > maximumBytes) return Err(Failure(ResultCode.TOO_LARGE))
     val bytes = receiveChannel().readRemaining(maximumBytes + 1L).readByteArray()
-    return if (bytes.size > maximumBytes) Err(Failure(ResultCode.TOO_LARGE)) else decodeText(bytes)
+    return if (bytes.size > maximumBytes) Err(Failure(ResultCode.TOO_LARGE)) else Ok(bytes)
 }
 
 private fun decodeText(bytes: ByteArray): Result<String, Failure> = try {
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/HttpServer.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/HttpServer.kt
@@ -2,12 +2,14 @@
 
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
+import cassiaspindle.transport.http.server.engine.BoundedEngine
+import cassiaspindle.transport.http.server.engine.BoundedEngineFactory
+import cassiaspindle.transport.peer.HostAndPort
+import cassiaspindle.transport.relay.CallerGuard
 import io.ktor.http.ContentType
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.call
-import io.ktor.server.application.install
-import io.ktor.server.cio.CIO
-import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.ApplicationEngine
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.response.respondText
@@ -15,37 +17,16 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
-import io.ktor.server.websocket.WebSockets
-import io.micrometer.core.instrument.Counter
-import io.micrometer.prometheusmetrics.PrometheusConfig
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.coroutines.runBlocking
 
 private const val STOP_TIMEOUT_MILLISECONDS = 200L
 
-/** The metrics of a daemon. */
-class Metrics {
-    /** The registry that `/metrics` exposes. */
-    val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-
-    private val peerBytes = Counter.builder("cassiaspindle.peer.sent.bytes").register(registry)
-
-    /** Counts bytes sent to other processes of the system. */
-    fun countPeerBytes(bytes: Int) = peerBytes.increment(bytes.toDouble())
-
-    /** Counts an occurrence of [event]. */
-    fun countEvent(event: String) =
-        Counter.builder("cassiaspindle.events").tag("event", event).register(registry).increment()
-
-    /** Counts a result with [code]. */
-    fun count(code: ResultCode) {
-        Counter.builder("cassiaspindle.results").tag("code", code.number.toString()).register(registry).increment()
-    }
-}
-
-/** An HTTP server with the routes of a daemon, `/metrics`, and an error with a result code on other paths. */
+/**
+ * An HTTP server with the routes of a daemon, `/metrics`, and an error with a result code on other paths. What its
+ * clients may take of the process is bounded before a route is found.
+ */
 class HttpServer private constructor(
-    private val server: EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration>,
+    private val server: EmbeddedServer<BoundedEngine, ApplicationEngine.Configuration>,
 ) {
     /** The port that the server listens on. */
     val port: Int by lazy { runBlocking { server.engine.resolvedConnectors().first().port } }
@@ -54,10 +35,9 @@
     fun close() = server.stop(STOP_TIMEOUT_MILLISECONDS, STOP_TIMEOUT_MILLISECONDS)
 
     companion object {
-        /** Starts a server with [routes] on [host] and [port]; port 0 selects a free one. */
-        fun start(host: String, port: Int, metrics: Metrics, routes: Route.() -> Unit): HttpServer {
-            val server = embeddedServer(CIO, port = port, host = host) {
-                install(WebSockets)
+        /** Starts a server with [routes] on [address], port 0 selects a free one; [guard] bounds its clients. */
+        fun start(address: HostAndPort, metrics: Metrics, guard: CallerGuard, routes: Route.() -> Unit): HttpServer {
+            val server = embeddedServer(BoundedEngineFactory(guard), port = address.port, host = address.host) {
                 routing {
                     routes()
                     get("/metrics") { call.respondText(metrics.registry.scrape(), ContentType.Text.Plain) }
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/HttpStatusOf.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/HttpStatusOf.kt
@@ -8,6 +8,7 @@
     ResultCode.OK -> HttpStatusCode.OK
     ResultCode.MALFORMED, ResultCode.ORDER_KEY_INVALID -> HttpStatusCode.BadRequest
     ResultCode.TOO_LARGE -> HttpStatusCode.PayloadTooLarge
+    ResultCode.BODY_TOO_SLOW -> HttpStatusCode.RequestTimeout
     ResultCode.UNAUTHENTICATED -> HttpStatusCode.Unauthorized
     ResultCode.UNKNOWN_SERVICE, ResultCode.UNKNOWN_PATH, ResultCode.UNKNOWN_DOCUMENT, ResultCode.UNKNOWN_ORDER ->
         HttpStatusCode.NotFound
--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/BackEndRoutesTest.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/BackEndRoutesTest.kt
@@ -10,7 +10,6 @@
 import cassiaspindle.schema.RunnerDescription
 import cassiaspindle.transport.http.backend.BackEndHandlers
 import cassiaspindle.transport.http.backend.backEndRoutes
-import cassiaspindle.transport.http.server.HttpServer
 import cassiaspindle.transport.http.server.Metrics
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
@@ -29,7 +28,7 @@
         cacheEvents = { Acknowledgement(accepted = true) },
         leave = { Acknowledgement(accepted = true) },
     )
-    private val server = HttpServer.start("127.0.0.1", 0, metrics) { backEndRoutes(handlers) }
+    private val server = startTestServer(metrics) { backEndRoutes(handlers) }
     private val client = TestHttpClient { server.port }
     private val runner =
         announcement("runner", incarnation = 1) { runner(RunnerDescription("kind", "model", "v1", 0, 8)) }
--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
@@ -12,7 +12,6 @@
 import cassiaspindle.transport.http.caller.CallerRequest
 import cassiaspindle.transport.http.caller.CallerSession
 import cassiaspindle.transport.http.caller.callerRoutes
-import cassiaspindle.transport.http.server.HttpServer
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.http.server.errorAnswerOf
 import com.github.michaelbull.result.Err
@@ -34,7 +33,7 @@
         orderStatus = { _, _, _ -> Err(Failure(ResultCode.UNKNOWN_ORDER)) },
         toErrorAnswer = ::errorAnswerOf,
     )
-    private val server = HttpServer.start("127.0.0.1", 0, metrics) { callerRoutes(handlers) }
+    private val server = startTestServer(metrics) { callerRoutes(handlers) }
     private val client = TestHttpClient { server.port }
 
     @AfterAll
--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/ControlRoutesTest.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/ControlRoutesTest.kt
@@ -9,7 +9,6 @@
 import cassiaspindle.schema.ServiceDocument
 import cassiaspindle.transport.http.operator.ControlHandlers
 import cassiaspindle.transport.http.operator.controlRoutes
-import cassiaspindle.transport.http.server.HttpServer
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.http.server.errorAnswerOf
 import com.github.michaelbull.result.Err
@@ -33,7 +32,7 @@
         unsettledOrders = { notLeader() },
         settle = { notLeader() },
     )
-    private val server = HttpServer.start("127.0.0.1", 0, metrics) { controlRoutes(handlers) }
+    private val server = startTestServer(metrics) { controlRoutes(handlers) }
     private val client = TestHttpClient { server.port }
 
     @AfterAll
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
@@ -23,8 +23,8 @@
 /** Idle timeout of a caller's connection, in milliseconds; callers are given a shorter one. */
 internal const val IDLE_TIMEOUT_MILLISECONDS = 20_000L
 
-/** Maximum unread rest of a request body that is drained so that the connection can be reused, in bytes. */
-private const val MAXIMUM_DRAINED_BYTES = 1024 * 1024
+/** Maximum unread rest of a request body that is discarded so that the connection can be reused, in bytes. */
+private const val MAXIMUM_DISCARDED_BYTES = 1024 * 1024
 
 private const val HTTP_VERSION = "HTTP/1.1"
 private val CLOSE = listOf(Header("Connection", "close"))
@@ -56,7 +56,7 @@
         received,
         output,
         readAhead,
-        guard.limits.bodyProgress,
+        guard.limits,
         sender,
         onMemoryExceeded = ::relieveBodyMemory,
         onTooSlow = { meetBound(CallerBound.BODY_TIME) },
@@ -192,7 +192,7 @@
             currentCall = call
             if (!callerDisconnected) handler(call)
             call.isResponseComplete && !call.closesConnection &&
-                (body.isFullyRead || body.read(MAXIMUM_DRAINED_BYTES, reservation) != null)
+                body.discard(MAXIMUM_DISCARDED_BYTES)
         }
     }
 
@@ -200,8 +200,9 @@
     private suspend fun refuse(response: ResponseHead, bound: CallerBound) {
         meetBound(bound)
         val emptyBody = RequestBody(BodyFraming.Length(0), expectsContinue = false, bodySource)
+        val refusal = guard.refusal(bound, response)
         guard.bodyBudget.newReservation().use {
-            RelayCall(RequestHead("", "", emptyList()), emptyBody, output, it).respond(response, ByteArray(0))
+            RelayCall(RequestHead("", "", emptyList()), emptyBody, output, it).respond(refusal.head, refusal.body)
         }
         output.flushAndClose()
     }
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerLimits.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerLimits.kt
@@ -10,6 +10,8 @@
     val maximumConnections: Int = DEFAULT_MAXIMUM_CONNECTIONS,
     /** Connections at the same time from one address; many callers may share one. */
     val maximumConnectionsPerAddress: Int = DEFAULT_MAXIMUM_CONNECTIONS / 2,
+    /** Heap that is reserved for each byte of a body, for what the handlers make of it. */
+    val heapBytesPerBodyByte: Int = 1,
 ) {
     private companion object {
         const val DEFAULT_HEAD_TIMEOUT_MILLISECONDS = 10_000L
@@ -34,6 +36,9 @@
 /** Told that the caller at an address has met a limit. */
 typealias CallerBoundObserver = (CallerBound, address: String) -> Unit
 
+/** The response to a caller that has met a bound and gets [head]; its request did not run. */
+typealias RefusalBuilder = (bound: CallerBound, head: ResponseHead) -> BufferedResponse
+
 /** What a server needs to bound its callers. */
 data class CallerGuard(
     val limits: CallerLimits,
@@ -44,4 +49,5 @@
     /** Monotonic time in milliseconds. */
     val now: () -> Long,
     val onBound: CallerBoundObserver = { _, _ -> },
+    val refusal: RefusalBuilder = { _, head -> BufferedResponse(head, ByteArray(0)) },
 )
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
@@ -36,6 +36,9 @@
     /** Number of connections of callers. */
     val connectionCount: Int get() = connections.count
 
+    /** The ports on which the server listens, in the order of its handlers. */
+    val ports: List<Int> get() = sockets.map { (it.localAddress.toJavaAddress() as InetSocketAddress).port }
+
     /** Stops the server and cancels calls in flight. */
     fun close() {
         sockets.forEach(ServerSocket::close)
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestBody.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestBody.kt
@@ -12,6 +12,7 @@
 import kotlinx.io.IOException
 import kotlinx.io.readByteArray
 
+private const val DISCARD_BUFFER_BYTES = 8_192
 private val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".encodeToByteArray()
 
 /** How the end of a request body is determined; null if the headers are invalid or conflict. */
@@ -36,7 +37,7 @@
     val input: ByteReadChannel,
     val output: ByteWriteChannel,
     val readAhead: ReadAhead,
-    val progress: BodyProgress,
+    val limits: CallerLimits,
     val sender: Sender,
     /** The process holds too many bytes to receive the body. */
     val onMemoryExceeded: () -> Unit,
@@ -56,6 +57,12 @@
     var isFullyRead = framing == BodyFraming.Length(0)
         private set
 
+    /** Whether a part of the body may have been read. */
+    private var isStarted = false
+
+    @Volatile
+    private var discardedBytes = 0L
+
     /**
      * Reads the whole body, whose bytes [reservation] holds; returns null and leaves the rest unread if it is larger
      * than [maximumBytes]. Throws [BufferBudgetExceededException] if the process holds too many bytes, and
@@ -71,12 +78,53 @@
         throw tooSlow
     }
 
+    /**
+     * Reads a body that nothing has read and drops it, so that the connection can serve another request. Returns false
+     * if that is not possible, such as if the body is larger than [maximumBytes]. Throws [BodyTooSlowException] if too
+     * few bytes arrive.
+     */
+    suspend fun discard(maximumBytes: Int): Boolean {
+        val length = (framing as? BodyFraming.Length)?.bytes
+        val isDiscardable = !isStarted && !expectsContinue && (length ?: 0) <= maximumBytes
+        if (!isFullyRead && isDiscardable) {
+            requireProgress(::discardedBytes) {
+                isFullyRead = if (length == null) discardChunked(maximumBytes) else discardFixedLength(length)
+            }
+        }
+        return isFullyRead
+    }
+
+    private suspend fun discardFixedLength(length: Long): Boolean {
+        val buffer = ByteArray(DISCARD_BUFFER_BYTES)
+        while (discardedBytes < length) {
+            val count = input.readAvailable(buffer, 0, minOf(length - discardedBytes, buffer.size.toLong()).toInt())
+            if (count < 0) throw EOFException("the body ended after $discardedBytes of $length bytes")
+            discardedBytes += count
+            source.readAhead.use(count)
+        }
+        return true
+    }
+
+    /** Returns false as soon as the body is larger than [maximumBytes]. */
+    private suspend fun discardChunked(maximumBytes: Int): Boolean {
+        val body = ChunkedBody(input, source.readAhead::use)
+        val buffer = ByteArray(DISCARD_BUFFER_BYTES)
+        var count = body.read(buffer)
+        while (count >= 0 && discardedBytes <= maximumBytes) {
+            discardedBytes += count
+            count = body.read(buffer)
+        }
+        return count < 0
+    }
+
     private suspend fun receive(maximumBytes: Int, reservation: BufferBudget.Reservation): ByteArray? {
         val length = (framing as? BodyFraming.Length)?.bytes
+        val isTooLarge = length != null && length > maximumBytes
+        isStarted = isStarted || !isTooLarge
         val bytes = when {
             isFullyRead -> ByteArray(0)
             length == null -> reservation.whileReceiving(source.sender) { readChunked(maximumBytes, reservation) }
-            length > maximumBytes -> null
+            isTooLarge -> null
             else -> source.readAhead.whileBodyIsReserved {
                 reservation.whileReceiving(source.sender) { readFixedLength(length.toInt(), reservation) }
             }
@@ -87,7 +135,7 @@
 
     /** The memory is reserved before it is taken. */
     private suspend fun readFixedLength(length: Int, reservation: BufferBudget.Reservation): ByteArray {
-        reservation.resize(length.toLong())
+        reservation.resize(heapBytes(length.toLong()))
         sendContinue()
         val body = ByteArray(length)
         var size = 0
@@ -116,7 +164,7 @@
             requireProgress(body::size) {
                 decodeWholeChunked(input, source.readAhead::use) { bytes, count ->
                     if (body.size + count > maximumBytes) throw BodyTooLargeException()
-                    reservation.resize(body.size + count)
+                    reservation.resize(heapBytes(body.size + count))
                     body.write(bytes, 0, count)
                 }
             }
@@ -126,13 +174,15 @@
         return body.readByteArray()
     }
 
+    private fun heapBytes(bodyBytes: Long): Long = bodyBytes * source.limits.heapBytesPerBodyByte
+
     /** Runs [read]; fails if [size] grows too slowly meanwhile. */
     private suspend fun requireProgress(size: () -> Long, read: suspend () -> Unit) = coroutineScope {
         val watchdog = launch {
             var sizeBefore = 0L
             while (true) {
-                delay(source.progress.periodMilliseconds)
-                if (size() - sizeBefore < source.progress.minimumBytes) throw BodyTooSlowException()
+                delay(source.limits.bodyProgress.periodMilliseconds)
+                if (size() - sizeBefore < source.limits.bodyProgress.minimumBytes) throw BodyTooSlowException()
                 sizeBefore = size()
             }
         }
