Compare a caller's key before its body is read

What callers saw: any key bought 1 MB of an entry VM's memory until the body had ended or the connection closed. Cause: the routes of callers took the digest of whatever key was sent, read the body, and left the comparison to AdmissionControl.admit. Change: AdmissionControl.refusalBeforeBody decides with the service and the digest alone, after the reasons that hold for all (draining, no lease); the routes ask it first. A refusal there has the retry time of other refusals. Why it works: a body is only read for a key that the service accepts.

--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/CallerRequestHandler.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/CallerRequestHandler.kt
@@ -11,6 +11,9 @@
 import cassiaspindle.transport.http.caller.CallerRequest
 import cassiaspindle.transport.http.caller.CallerSession
 import cassiaspindle.transport.http.server.errorAnswerOf
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import org.tinylog.kotlin.Logger
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
@@ -36,6 +39,7 @@
         maximumMessageBytes = settings.maximumMessageBytes,
         metrics = components.metrics,
         discover = ::discover,
+        authenticate = ::authenticate,
         startRequest = ::startRequest,
         orderStatus = orderReader::read,
         toErrorAnswer = ::toErrorAnswer,
@@ -53,6 +57,11 @@
         )
     }
 
+    private fun authenticate(service: String, keyDigest: String): Result<Unit, Failure> {
+        val refusal = components.admission.refusalBeforeBody(service, keyDigest, components.now())
+        return if (refusal == null) Ok(Unit) else Err(Failure(refusal))
+    }
+
     private fun startRequest(request: CallerRequest): CallerSession {
         val requestId = "${settings.name}-${components.identity.incarnation}-${lastRequestNumber.incrementAndGet()}"
         val session = CallerSession(requestId, onDisconnect = { cancel(requestId) })
--- a/decision/entry/src/main/kotlin/cassiaspindle/entry/admission/AdmissionControl.kt
+++ b/decision/entry/src/main/kotlin/cassiaspindle/entry/admission/AdmissionControl.kt
@@ -26,15 +26,15 @@
 
     /** Admits a request and counts it as in flight until [release]. */
     fun admit(request: AdmissionRequest, nowMilliseconds: Long): Admission {
-        val refusal = when {
-            draining.get() -> ResultCode.DRAINING
-            !catalog.hasLease(nowMilliseconds) -> ResultCode.ENTRY_CUT_OFF
-            request.deadlineMilliseconds <= nowMilliseconds -> ResultCode.DEADLINE_TOO_SHORT
-            else -> null
-        }
+        val refusal = refusalOfAll(nowMilliseconds)
+            ?: ResultCode.DEADLINE_TOO_SHORT.takeIf { request.deadlineMilliseconds <= nowMilliseconds }
         return if (refusal != null) Admission.Refused(refusal) else admitToService(request)
     }
 
+    /** Returns why a request of the caller with [keyDigest] is refused whatever its body is, or null if it isn't. */
+    fun refusalBeforeBody(service: String, keyDigest: String, nowMilliseconds: Long): ResultCode? =
+        refusalOfAll(nowMilliseconds) ?: (authenticate(service, keyDigest) as? Admission.Refused)?.code
+
     /** Removes a finished request of [account] from the count. */
     fun release(service: String, account: String) = limits.release(service, account)
 
@@ -49,6 +49,12 @@
         }
     }
 
+    private fun refusalOfAll(nowMilliseconds: Long): ResultCode? = when {
+        draining.get() -> ResultCode.DRAINING
+        !catalog.hasLease(nowMilliseconds) -> ResultCode.ENTRY_CUT_OFF
+        else -> null
+    }
+
     private fun admitToService(request: AdmissionRequest): Admission {
         val admission = authenticate(request.service, request.keyDigest)
         return when {
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerHandlers.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerHandlers.kt
@@ -30,6 +30,8 @@
     val maximumMessageBytes: Int,
     val metrics: Metrics,
     val discover: (zone: String?) -> EntryAddresses,
+    /** Checks the key of a caller before memory is spent on the body of its request. */
+    val authenticate: (service: String, keyDigest: String) -> Result<Unit, Failure>,
     /** Starts a request and returns the session with its events. */
     val startRequest: (CallerRequest) -> CallerSession,
     val orderStatus: suspend (service: String, keyDigest: String, key: OrderKey) -> Result<OrderStatus, Failure>,
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerRequestReader.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerRequestReader.kt
@@ -32,16 +32,24 @@
 
 /** Reads a request, or an order if [orderKey] is set; checks the key, headers and size before parsing the body. */
 internal suspend fun ApplicationCall.readRequest(
-    maximumBytes: Int,
+    handlers: CallerHandlers,
     orderKey: OrderKey?,
-): Result<CallerRequest, Failure> =
-    keyDigest().toResultOr { Failure(ResultCode.UNAUTHENTICATED) }.flatMap { keyDigest ->
-        readHeaders().flatMap { headers ->
-            readBodyText(maximumBytes).flatMap { text ->
-                readBody(text).map { body -> callerRequest(keyDigest, headers, text, body, orderKey) }
-            }
+): Result<CallerRequest, Failure> = authenticate(handlers).flatMap { keyDigest ->
+    readHeaders().flatMap { headers ->
+        readBodyText(handlers.maximumMessageBytes).flatMap { text ->
+            readBody(text).map { body -> callerRequest(keyDigest, headers, text, body, orderKey) }
         }
     }
+}
+
+/** The digest of the caller's key, if the service accepts it. */
+private fun ApplicationCall.authenticate(handlers: CallerHandlers): Result<String, Failure> =
+    keyDigest().toResultOr { Failure(ResultCode.UNAUTHENTICATED) }.flatMap { keyDigest ->
+        handlers.authenticate(serviceName(), keyDigest).map { keyDigest }
+    }
+
+/** The name of the service in the path. */
+internal fun ApplicationCall.serviceName(): String = parameters["service"].orEmpty()
 
 /** Parses an idempotency key. */
 internal fun parseOrderKey(text: String?): Result<OrderKey, Failure> =
@@ -54,7 +62,7 @@
     body: ServiceRequest,
     orderKey: OrderKey?,
 ) = CallerRequest(
-    service = parameters["service"].orEmpty(),
+    service = serviceName(),
     keyDigest = keyDigest,
     body = body,
     bodyDigest = Digest.of(text),
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerResponses.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerResponses.kt
@@ -34,7 +34,7 @@
             handlers.metrics.count(ResultCode.OK)
             respondJson(event.answer)
         }
-        is CallerEvent.Failed -> respondFailure(handlers, event.failure)
+        is CallerEvent.Failed -> refuse(handlers, event.failure)
         is CallerEvent.Token -> Unit
     }
 }
@@ -43,7 +43,7 @@
 private suspend fun ApplicationCall.respondStream(handlers: CallerHandlers, session: CallerSession) {
     var event = session.events.receive()
     if (event is CallerEvent.Failed) {
-        respondFailure(handlers, event.failure)
+        refuse(handlers, event.failure)
         return
     }
     respondBytesWriter(ContentType.Text.EventStream) {
@@ -69,7 +69,7 @@
     }
 }
 
-private suspend fun ApplicationCall.respondFailure(handlers: CallerHandlers, failure: Failure) {
+internal suspend fun ApplicationCall.refuse(handlers: CallerHandlers, failure: Failure) {
     handlers.metrics.count(failure.code)
     respondError(handlers.toErrorAnswer(failure))
 }
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerRoutes.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerRoutes.kt
@@ -28,17 +28,17 @@
 }
 
 private suspend fun ApplicationCall.handleRequest(handlers: CallerHandlers, orderKey: Result<OrderKey?, Failure>) {
-    val request = orderKey.flatMap { key -> readRequest(handlers.maximumMessageBytes, key) }
+    val request = orderKey.flatMap { key -> readRequest(handlers, key) }
     request.fold(
         success = { sendEvents(handlers, handlers.startRequest(it)) },
-        failure = { refuse(handlers.metrics, it) },
+        failure = { refuse(handlers, it) },
     )
 }
 
 private suspend fun ApplicationCall.handleOrderStatus(handlers: CallerHandlers) {
     val status = keyDigest().toResultOr { Failure(ResultCode.UNAUTHENTICATED) }.flatMap { keyDigest ->
         parseOrderKey(parameters["key"]).flatMap { key ->
-            handlers.orderStatus(parameters["service"].orEmpty(), keyDigest, key)
+            handlers.orderStatus(serviceName(), keyDigest, key)
         }
     }
     status.fold(success = { respondJson(it) }, failure = { refuse(handlers.metrics, it) })
--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
@@ -1,5 +1,6 @@
 package cassiaspindle.transport.http
 
+import cassiaspindle.core.identity.Digest
 import cassiaspindle.core.identity.OrderKey
 import cassiaspindle.core.result.Failure
 import cassiaspindle.core.result.ResultCode
@@ -15,10 +16,12 @@
 import cassiaspindle.transport.http.server.Metrics
 import cassiaspindle.transport.http.server.errorAnswerOf
 import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 
 class CallerRoutesTest : AnnotationSpec() {
@@ -29,6 +32,9 @@
         maximumMessageBytes = MAXIMUM_BYTES,
         metrics = metrics,
         discover = { EntryAddresses(1_000, emptyList()) },
+        authenticate = { _, digest ->
+            if (digest == Digest.of(UNKNOWN_KEY)) Err(Failure(ResultCode.UNAUTHENTICATED)) else Ok(Unit)
+        },
         startRequest = ::startRequest,
         orderStatus = { _, _, _ -> Err(Failure(ResultCode.UNKNOWN_ORDER)) },
         toErrorAnswer = ::errorAnswerOf,
@@ -66,6 +72,16 @@
         metrics.registry.scrape() shouldContain """cassiaspindle_results_total{code="101"} 1.0"""
     }
 
+    @Test
+    fun `a key that the service does not accept is refused before the body arrives`() {
+        val head = "POST $REQUESTS HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer $UNKNOWN_KEY\r\nContent-Length: 9\r\n\r\n"
+        val status = Socket("127.0.0.1", server.port).use { socket ->
+            socket.getOutputStream().write(head.toByteArray())
+            socket.getInputStream().bufferedReader().readLine()
+        }
+        status shouldBe "HTTP/1.1 401 Unauthorized"
+    }
+
     @Test
     fun `a stream sends tokens and then the answer`() {
         events += CallerEvent.Token(TokenEvent(0, 7))
@@ -101,6 +117,7 @@
 
     private companion object {
         const val MAXIMUM_BYTES = 2_048
+        const val UNKNOWN_KEY = "unknown"
         const val REQUESTS = "/v1/services/service/requests"
         const val ORDERS = "/v1/services/service/orders"
     }
