--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
@@ -69,6 +69,9 @@
         withTimeoutOrNull(FIRST_FRAME_TIMEOUT_MILLISECONDS) { input.readFrame(MAXIMUM_FIRST_FRAME_BYTES) }
             ?: Err(Failure(ResultCode.BACK_END_LOST, "no frame within the time limit"))
 
+    /** The other side has sent the key. */
+    internal fun trust() = socket.enlargeReceiveBuffer()
+
     /** Writes queued frames and passes received ones to [onFrame] until a failure, such as silence of the peer. */
     internal suspend fun run(onFrame: (PeerFrame) -> Unit): Failure? = coroutineScope {
         val writer = launch { writeQueued() }
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -10,7 +10,6 @@
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -56,6 +55,7 @@
     private suspend fun serve(connection: PeerConnection) {
         try {
             if (authenticate(connection)) {
+                connection.trust()
                 connections += connection
                 connection.run { handlers.onFrame(connection, it) }?.let(::reportRefusal)
             }
@@ -100,9 +100,7 @@
             scope: CoroutineScope,
             handlers: PeerHandlers,
         ): PeerServer {
-            val socket = runBlocking {
-                aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
-            }
+            val socket = runBlocking { listen(selector, address) }
             val server = PeerServer(socket, selector, settings, handlers)
             scope.launch {
                 socket.acceptEach { accepted ->
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RelayServer.kt
@@ -2,10 +2,10 @@
 
 import cassiaspindle.transport.peer.HostAndPort
 import cassiaspindle.transport.peer.acceptEach
+import cassiaspindle.transport.peer.listen
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.toJavaAddress
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -88,7 +88,7 @@
         ): RelayServer {
             val scope = parent + SupervisorJob(parent.coroutineContext.job) + logFailure
             val sockets = handlers.keys.associateWith { address ->
-                runBlocking { aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true } }
+                runBlocking { listen(selector, address) }
             }
             val server = RelayServer(scope, sockets.values.toList(), selector, guard)
             sockets.forEach { (address, socket) -> server.accept(socket, handlers.getValue(address)) }
