Reserve a large body once its first bytes have come

What callers saw: a whole body of 4 MB was refused with 503 while others had only announced theirs, or sent a byte now and then: those kept the memory, a trickle for 15 s a connection, and could come back. Cause: the announced length was reserved before a byte had come, and any byte within a second counted as progress under memory pressure. Change: a body of more than 64 KB reserves that much at first and the rest once that has arrived; under pressure a large body counts as stalled unless it grows by 4,096 bytes a second. A message that can never fit is refused at once, as before. What no handler reads is dropped by DiscardedBody. Why it works: an announcement alone holds 64 KB of the part for large bodies, and a trickle is the first to be ended when a whole body finds no room.

--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
@@ -74,7 +74,8 @@
 
     @Test
     fun `a key that the service does not accept is refused before the body arrives`() {
-        val head = "POST $REQUESTS HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer $UNKNOWN_KEY\r\nContent-Length: 9\r\n\r\n"
+        val key = "Authorization: Bearer $UNKNOWN_KEY"
+        val head = "POST $REQUESTS HTTP/1.1\r\nHost: h\r\n$key\r\nContent-Length: 9\r\n\r\n"
         val status = Socket("127.0.0.1", server.port).use { socket ->
             socket.getOutputStream().write(head.toByteArray())
             socket.getInputStream().bufferedReader().readLine()
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerConnection.kt
@@ -69,11 +69,12 @@
         withTimeoutOrNull(FIRST_FRAME_TIMEOUT_MILLISECONDS) { input.readFrame(MAXIMUM_FIRST_FRAME_BYTES) }
             ?: Err(Failure(ResultCode.BACK_END_LOST, "no frame within the time limit"))
 
-    /** The other side has sent the key. */
-    internal fun trust() = socket.enlargeReceiveBuffer()
-
-    /** Writes queued frames and passes received ones to [onFrame] until a failure, such as silence of the peer. */
+    /**
+     * Writes queued frames and passes received ones to [onFrame] until a failure, such as silence of the peer, which
+     * has proved that it has the key.
+     */
     internal suspend fun run(onFrame: (PeerFrame) -> Unit): Failure? = coroutineScope {
+        if (side == PeerSide.SERVER) socket.enlargeReceiveBuffer()
         val writer = launch { writeQueued() }
         val reader = async { readUntilFailure(onFrame) }
         val watchdog = launch {
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/PeerServer.kt
@@ -55,7 +55,6 @@
     private suspend fun serve(connection: PeerConnection) {
         try {
             if (authenticate(connection)) {
-                connection.trust()
                 connections += connection
                 connection.run { handlers.onFrame(connection, it) }?.let(::reportRefusal)
             }
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/BufferBudget.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/BufferBudget.kt
@@ -7,8 +7,8 @@
 /** Divisor for the part of a budget that only small reservations may take, so that ordinary requests find room. */
 private const val SMALL_PART_DIVISOR = 8
 
-/** Largest reservation that may take the part for small ones, in bytes. */
-private const val SMALL_BYTES = 64 * 1024L
+/** Largest message that may take the part for small ones, in bytes. */
+internal const val SMALL_MESSAGE_BYTES = 64 * 1024L
 
 /** Time without a byte after which a message may be ended under memory pressure, in milliseconds. */
 private const val STALL_MILLISECONDS = 1_000L
@@ -52,9 +52,9 @@
         return isEnded
     }
 
-    private fun fits(heldBytes: Long, difference: Long, newBytes: Long): Boolean {
-        val smallPart = if (newBytes > SMALL_BYTES) maximumBytes / SMALL_PART_DIVISOR else 0
-        return difference <= 0 || heldBytes + difference <= maximumBytes - smallPart
+    private fun fits(heldBytes: Long, difference: Long, messageBytes: Long): Boolean {
+        val smallPart = if (messageBytes > SMALL_MESSAGE_BYTES) maximumBytes / SMALL_PART_DIVISOR else 0
+        return difference <= 0 || maxOf(heldBytes + difference, messageBytes) <= maximumBytes - smallPart
     }
 
     /** The bytes held for one message. Not thread-safe. */
@@ -64,11 +64,14 @@
 
         internal val holdsBytes: Boolean get() = bytes > 0
 
-        /** Holds [newBytes] from now on; throws [BufferBudgetExceededException] if that is more than is free. */
-        fun resize(newBytes: Long) {
+        /**
+         * Holds [newBytes] from now on, of a message that will take [messageBytes] in the end; throws
+         * [BufferBudgetExceededException] if that is more than is free, or the whole message will never fit.
+         */
+        fun resize(newBytes: Long, messageBytes: Long = newBytes) {
             val difference = newBytes - bytes
-            val before = heldBytesTotal.getAndUpdate { if (fits(it, difference, newBytes)) it + difference else it }
-            if (!fits(before, difference, newBytes)) throw BufferBudgetExceededException(maximumBytes)
+            val before = heldBytesTotal.getAndUpdate { if (fits(it, difference, messageBytes)) it + difference else it }
+            if (!fits(before, difference, messageBytes)) throw BufferBudgetExceededException(maximumBytes)
             bytes = newBytes
         }
 
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/CallerConnection.kt
@@ -56,7 +56,7 @@
         received,
         output,
         readAhead,
-        guard.limits,
+        guard,
         sender,
         onMemoryExceeded = ::relieveBodyMemory,
         onTooSlow = { meetBound(CallerBound.BODY_TIME) },
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestBody.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestBody.kt
@@ -12,7 +12,6 @@
 import kotlinx.io.IOException
 import kotlinx.io.readByteArray
 
-private const val DISCARD_BUFFER_BYTES = 8_192
 private val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".encodeToByteArray()
 
 /** How the end of a request body is determined; null if the headers are invalid or conflict. */
@@ -37,7 +36,7 @@
     val input: ByteReadChannel,
     val output: ByteWriteChannel,
     val readAhead: ReadAhead,
-    val limits: CallerLimits,
+    val guard: CallerGuard,
     val sender: Sender,
     /** The process holds too many bytes to receive the body. */
     val onMemoryExceeded: () -> Unit,
@@ -60,8 +59,23 @@
     /** Whether a part of the body may have been read. */
     private var isStarted = false
 
+    /** Bytes of the body so far. */
     @Volatile
-    private var discardedBytes = 0L
+    private var receivedBytes = 0L
+
+    /** Announced length, or 0 if none is announced. */
+    @Volatile
+    private var expectedBytes = 0L
+    private val progress = ProgressClock(source.guard.now)
+
+    /** A byte now and then keeps a small body from being ended under memory pressure, but not a large one. */
+    private val sender = Sender(
+        stalledMilliseconds = {
+            val isLarge = maxOf(expectedBytes, receivedBytes) > SMALL_MESSAGE_BYTES
+            if (isLarge) progress.stalledMilliseconds else source.sender.stalledMilliseconds()
+        },
+        end = source.sender.end,
+    )
 
     /**
      * Reads the whole body, whose bytes [reservation] holds; returns null and leaves the rest unread if it is larger
@@ -84,70 +98,64 @@
      * few bytes arrive.
      */
     suspend fun discard(maximumBytes: Int): Boolean {
-        val length = (framing as? BodyFraming.Length)?.bytes
-        val isDiscardable = !isStarted && !expectsContinue && (length ?: 0) <= maximumBytes
-        if (!isFullyRead && isDiscardable) {
-            requireProgress(::discardedBytes) {
-                isFullyRead = if (length == null) discardChunked(maximumBytes) else discardFixedLength(length)
-            }
+        if (!isFullyRead && !isStarted && !expectsContinue) {
+            val body = DiscardedBody(framing, source)
+            isFullyRead = requireProgress(body::size) { body.read(maximumBytes) }
         }
         return isFullyRead
     }
 
-    private suspend fun discardFixedLength(length: Long): Boolean {
-        val buffer = ByteArray(DISCARD_BUFFER_BYTES)
-        while (discardedBytes < length) {
-            val count = input.readAvailable(buffer, 0, minOf(length - discardedBytes, buffer.size.toLong()).toInt())
-            if (count < 0) throw EOFException("the body ended after $discardedBytes of $length bytes")
-            discardedBytes += count
-            source.readAhead.use(count)
-        }
-        return true
-    }
-
-    /** Returns false as soon as the body is larger than [maximumBytes]. */
-    private suspend fun discardChunked(maximumBytes: Int): Boolean {
-        val body = ChunkedBody(input, source.readAhead::use)
-        val buffer = ByteArray(DISCARD_BUFFER_BYTES)
-        var count = body.read(buffer)
-        while (count >= 0 && discardedBytes <= maximumBytes) {
-            discardedBytes += count
-            count = body.read(buffer)
-        }
-        return count < 0
-    }
-
     private suspend fun receive(maximumBytes: Int, reservation: BufferBudget.Reservation): ByteArray? {
         val length = (framing as? BodyFraming.Length)?.bytes
         val isTooLarge = length != null && length > maximumBytes
         isStarted = isStarted || !isTooLarge
         val bytes = when {
             isFullyRead -> ByteArray(0)
-            length == null -> reservation.whileReceiving(source.sender) { readChunked(maximumBytes, reservation) }
+            length == null -> reservation.whileReceiving(sender) { readChunked(maximumBytes, reservation) }
             isTooLarge -> null
-            else -> source.readAhead.whileBodyIsReserved {
-                reservation.whileReceiving(source.sender) { readFixedLength(length.toInt(), reservation) }
+            else -> reservation.whileReceiving(sender) {
+                requireProgress(::receivedBytes) { readFixedLength(length.toInt(), reservation) }
             }
         }
         isFullyRead = bytes != null
         return bytes
     }
 
-    /** The memory is reserved before it is taken. */
+    /**
+     * The memory is reserved before it is taken: that of a large body after its first bytes have arrived, so that a
+     * caller that announces one and sends nothing holds little.
+     */
     private suspend fun readFixedLength(length: Int, reservation: BufferBudget.Reservation): ByteArray {
-        reservation.resize(heapBytes(length.toLong()))
+        expectedBytes = length.toLong()
+        val firstLength = minOf(length, SMALL_MESSAGE_BYTES.toInt())
+        reservation.resize(heapBytes(firstLength.toLong()), messageBytes = heapBytes(expectedBytes))
         sendContinue()
-        val body = ByteArray(length)
-        var size = 0
-        requireProgress({ size.toLong() }) {
-            while (size < length) {
-                val count = input.readAvailable(body, size, length - size)
-                if (count < 0) throw EOFException("the body ended after $size of $length bytes")
-                size += count
-                source.readAhead.use(count)
-            }
+        val first = ByteArray(firstLength)
+        if (firstLength == length) {
+            source.readAhead.whileBodyIsReserved { fill(first, from = 0) }
+            return first
+        }
+        fill(first, from = 0)
+        return source.readAhead.whileBodyIsReserved {
+            reservation.resize(heapBytes(expectedBytes))
+            first.copyOf(length).also { fill(it, from = firstLength) }
+        }
+    }
+
+    private suspend fun fill(body: ByteArray, from: Int) {
+        var size = from
+        while (size < body.size) {
+            val count = input.readAvailable(body, size, body.size - size)
+            if (count < 0) throw EOFException("the body ended after $size of $expectedBytes bytes")
+            size += count
+            source.readAhead.use(count)
+            countReceived(count)
         }
-        return body
+    }
+
+    private fun countReceived(count: Int) {
+        receivedBytes += count
+        progress.add(count)
     }
 
     private suspend fun sendContinue() {
@@ -161,11 +169,12 @@
         sendContinue()
         val body = Buffer()
         try {
-            requireProgress(body::size) {
+            requireProgress(::receivedBytes) {
                 decodeWholeChunked(input, source.readAhead::use) { bytes, count ->
                     if (body.size + count > maximumBytes) throw BodyTooLargeException()
                     reservation.resize(heapBytes(body.size + count))
                     body.write(bytes, 0, count)
+                    countReceived(count)
                 }
             }
         } catch (_: BodyTooLargeException) {
@@ -174,20 +183,19 @@
         return body.readByteArray()
     }
 
-    private fun heapBytes(bodyBytes: Long): Long = bodyBytes * source.limits.heapBytesPerBodyByte
+    private fun heapBytes(bodyBytes: Long): Long = bodyBytes * source.guard.limits.heapBytesPerBodyByte
 
     /** Runs [read]; fails if [size] grows too slowly meanwhile. */
-    private suspend fun requireProgress(size: () -> Long, read: suspend () -> Unit) = coroutineScope {
+    private suspend fun <Value> requireProgress(size: () -> Long, read: suspend () -> Value): Value = coroutineScope {
         val watchdog = launch {
             var sizeBefore = 0L
             while (true) {
-                delay(source.limits.bodyProgress.periodMilliseconds)
-                if (size() - sizeBefore < source.limits.bodyProgress.minimumBytes) throw BodyTooSlowException()
+                delay(source.guard.limits.bodyProgress.periodMilliseconds)
+                if (size() - sizeBefore < source.guard.limits.bodyProgress.minimumBytes) throw BodyTooSlowException()
                 sizeBefore = size()
             }
         }
-        read()
-        watchdog.cancel()
+        read().also { watchdog.cancel() }
     }
 
     /** The body is larger than permitted. */
