--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/CallerRequestHandler.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/CallerRequestHandler.kt
@@ -64,7 +64,11 @@
 
     private fun startRequest(request: CallerRequest): CallerSession {
         val requestId = "${settings.name}-${components.identity.incarnation}-${lastRequestNumber.incrementAndGet()}"
-        val session = CallerSession(requestId, onDisconnect = { cancel(requestId) })
+        val session = CallerSession(
+            requestId,
+            onDisconnect = { cancel(requestId) },
+            onClosed = { components.sessions.remove(requestId) },
+        )
         components.sessions.add(session)
         val now = components.now()
         val incoming = IncomingRequest(
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerResponses.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerResponses.kt
@@ -21,13 +21,14 @@
         isComplete = true
     } finally {
         if (!isComplete) session.onDisconnect()
+        session.onClosed()
     }
 }
 
 private suspend fun ApplicationCall.respondComplete(handlers: CallerHandlers, session: CallerSession) {
-    var event = session.events.receive()
+    var event = session.receive()
     while (event is CallerEvent.Token) {
-        event = session.events.receive()
+        event = session.receive()
     }
     when (event) {
         is CallerEvent.Answer -> {
@@ -41,7 +42,7 @@
 
 /** Sends a failure before the first token as an error response, a later one as an event of the stream. */
 private suspend fun ApplicationCall.respondStream(handlers: CallerHandlers, session: CallerSession) {
-    var event = session.events.receive()
+    var event = session.receive()
     if (event is CallerEvent.Failed) {
         refuse(handlers, event.failure)
         return
@@ -50,7 +51,7 @@
         writeStringUtf8(encodeEvent(handlers, event))
         flush()
         while (event is CallerEvent.Token) {
-            event = session.events.receive()
+            event = session.receive()
             writeStringUtf8(encodeEvent(handlers, event))
             flush()
         }
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerSession.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/caller/CallerSession.kt
@@ -4,6 +4,7 @@
 import cassiaspindle.schema.ServiceAnswer
 import cassiaspindle.schema.TokenEvent
 import kotlinx.coroutines.channels.Channel
+import java.util.concurrent.atomic.AtomicInteger
 
 /** An event of a caller's request; an answer or a failure is the last one. */
 sealed interface CallerEvent {
@@ -22,7 +23,28 @@
     val requestId: String,
     /** Called if the caller disconnects before the last event. */
     val onDisconnect: () -> Unit,
+    /** Called once the caller has taken the last event, or has disconnected. */
+    val onClosed: () -> Unit = {},
 ) {
-    /** The events; the request's token limit bounds their number. */
-    val events = Channel<CallerEvent>(Channel.UNLIMITED)
+    private val events = Channel<CallerEvent>(Channel.UNLIMITED)
+    private val pending = AtomicInteger()
+
+    /** Number of events that the caller has not taken; the request's token limit bounds it. */
+    val pendingEvents: Int get() = pending.get()
+
+    /** Adds [event]; none follows an answer or a failure. */
+    fun send(event: CallerEvent) {
+        if (events.trySend(event).isSuccess) pending.incrementAndGet()
+        if (event !is CallerEvent.Token) events.close()
+    }
+
+    /** Takes the next event; throws a cancellation once the session has ended. */
+    suspend fun receive(): CallerEvent = events.receive().also { pending.decrementAndGet() }
+
+    /** Drops all events, for a caller that doesn't take them, and cancels the request. */
+    fun end() {
+        events.cancel()
+        pending.set(0)
+        onDisconnect()
+    }
 }
--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/CallerRoutesTest.kt
@@ -111,7 +111,7 @@
     private fun startRequest(request: CallerRequest): CallerSession {
         startedRequests += request
         val session = CallerSession("1", onDisconnect = {})
-        events.forEach { session.events.trySend(it) }
+        events.forEach { session.send(it) }
         events.clear()
         return session
     }
