--- a/command/src/main/kotlin/cassiaspindle/command/measure/stream/MeasuredProcess.kt
+++ b/command/src/main/kotlin/cassiaspindle/command/measure/stream/MeasuredProcess.kt
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.io.path.readText
 
-/** JVM options of a relaying entry VM (`deploy/system.toml`), without the archive of its classes. */
+/** JVM options of a relaying entry VM (`deploy/system.toml`) with a fixed heap, without the archive of its classes. */
 private val ENTRY_OPTIONS = listOf(
     "-Xmx150m",
     "-Xss256k",
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/ApplicationCalls.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/server/ApplicationCalls.kt
@@ -47,6 +47,7 @@
     return bytes.flatMap(::decodeText)
 }
 
+/** Reads the body of a call on another engine than [cassiaspindle.transport.http.server.engine.BoundedEngine]. */
 private suspend fun ApplicationCall.readChannel(maximumBytes: Int): Result<ByteArray, Failure> {
     val declaredBytes = request.contentLength() ?: 0
     if (declaredBytes > maximumBytes) return Err(Failure(ResultCode.TOO_LARGE))
