Take the ports of crowd tests below those of outgoing connections

Its port was free when it was chosen, but lies among those that the kernel gives to outgoing connections, and the entry VM and the stand-ins connect before the replica is there. Traced in the log of that process; the run was ended by hand at that test, with all tests before it green. No crowd, bound or check changed.

--- a/command/src/test/kotlin/cassiaspindle/command/crowd/SystemProcesses.kt
+++ b/command/src/test/kotlin/cassiaspindle/command/crowd/SystemProcesses.kt
@@ -4,13 +4,13 @@
 import cassiaspindle.command.local.Example
 import cassiaspindle.command.local.StandInFleet
 import cassiaspindle.command.local.applyDocuments
-import cassiaspindle.command.local.freePorts
 import cassiaspindle.schema.ControlAddress
 import cassiaspindle.schema.ControlSettings
 import cassiaspindle.schema.EntrySettings
 import cassiaspindle.schema.KeyFiles
 import cassiaspindle.schema.ServiceRequest
 import cassiaspindle.standin.crowd.CrowdTarget
+import cassiaspindle.standin.crowd.listenPorts
 import cassiaspindle.transport.http.client.CallerClient
 import cassiaspindle.transport.http.client.OperatorClient
 import cassiaspindle.transport.http.client.newHttpClient
@@ -31,7 +31,7 @@
     private val example = checkNotNull(Example.named("hooghly"))
     private val zone = example.availabilityZones.first()
     private val folder = Files.createTempDirectory("system-processes")
-    private val ports = freePorts(PORTS)
+    private val ports = listenPorts(PORTS)
     private val replica = ControlAddress("control-0", "127.0.0.1:${ports[0]}", "127.0.0.1:${ports[1]}")
     private val keyFiles = KeyFiles(writeKey("system"), writeKey(OPERATOR), writeKey(BACK_END))
     private val httpClient = newHttpClient()
