--- /dev/null
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/ResponseBody.kt
@@ -0,0 +1,42 @@
+package cassiaspindle.transport.relay
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readAvailable
+import kotlinx.io.EOFException
+import kotlinx.io.IOException
+
+/** The body of a response, which is read once from [input], each part by way of [buffer]. */
+internal class ResponseBody(
+    val framing: BodyFraming,
+    private val input: ByteReadChannel,
+    private val buffer: ByteArray,
+) {
+    private val chunks = ChunkedBody(input)
+    private var bytesRead = 0L
+
+    /** Reads a part of the body; returns null at its end; throws [IOException] if it is incomplete. */
+    suspend fun read(): ByteArray? = when (framing) {
+        is BodyFraming.Length -> readFixedLength(framing.bytes)
+        BodyFraming.Chunked -> readSome { chunks.read(buffer) }
+        BodyFraming.UntilClose -> readSome { input.readAvailable(buffer, 0, buffer.size) }
+    }
+
+    private suspend fun readFixedLength(length: Long): ByteArray? {
+        if (bytesRead == length) return null
+        val wanted = minOf(buffer.size.toLong(), length - bytesRead).toInt()
+        val count = input.readAvailable(buffer, 0, wanted)
+        if (count < 0) throw EOFException("response body ended after $bytesRead of $length bytes")
+        bytesRead += count
+        return buffer.copyOf(count)
+    }
+
+    /** The bytes that [read] stores in [buffer], or null at the end. */
+    private suspend inline fun readSome(read: () -> Int): ByteArray? {
+        val count = try {
+            read()
+        } catch (problem: IOException) {
+            throw IOException("response body is incomplete", problem)
+        }
+        return if (count < 0) null else buffer.copyOf(count)
+    }
+}
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -10,7 +10,6 @@
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writePacket
 import kotlinx.io.Buffer
 import kotlinx.io.EOFException
@@ -46,18 +45,16 @@
 ) {
     private val input = SocketReadChannel(socket, selector)
     private val output = socket.openWriteChannel(autoFlush = false)
-    private var framing: BodyFraming = BodyFraming.Length(0)
-    private var chunkedBody = ChunkedBody(input)
-    private var bodyBytesRead = 0L
-    private var exchangeCount = 0
     private val buffer = ByteArray(BUFFER_BYTES)
+    private var body = ResponseBody(BodyFraming.Length(0), input, buffer)
+    private var exchangeCount = 0
 
     /** Whether the whole body was read and the connection can be reused. */
     var isReusable = false
         private set
 
     /** Whether the response states where its body ends, and does not end with the connection. */
-    val isDelimited: Boolean get() = framing != BodyFraming.UntilClose
+    val isDelimited: Boolean get() = body.framing != BodyFraming.UntilClose
 
     /** Whether this is the first exchange, so that received bytes cannot belong to an earlier one. */
     var isFirstExchange = true
@@ -85,15 +82,15 @@
         val response = lines?.let { parse(it) } ?: throw EOFException("connection closed before a response")
         val head = ResponseHead(response.status, response.statusText.toString(), response.headers.toList())
         response.release()
-        startBody(head)
+        body = ResponseBody(framingOf(head), input, buffer)
         return head
     }
 
     /** Reads a part of the body; returns null at its end; throws [IOException] if it is incomplete. */
-    suspend fun readBody(): ByteArray? = when (val frame = framing) {
-        is BodyFraming.Length -> readFixedLength(frame.bytes)
-        BodyFraming.Chunked -> readChunked()
-        BodyFraming.UntilClose -> readSome { input.readAvailable(buffer, 0, BUFFER_BYTES) }
+    suspend fun readBody(): ByteArray? {
+        val bytes = body.read()
+        if (bytes == null) isReusable = isDelimited
+        return bytes
     }
 
     /**
@@ -101,15 +98,15 @@
      * than [maximumBytes].
      */
     suspend fun readWholeBody(maximumBytes: Int, reservation: BufferBudget.Reservation): ByteArray {
-        val body = Buffer()
-        var bytes = readBody()
-        while (bytes != null) {
-            if (body.size + bytes.size > maximumBytes) throw IOException("response body exceeds $maximumBytes bytes")
-            reservation.resize(body.size + bytes.size)
-            body.write(bytes)
-            bytes = readBody()
+        val whole = Buffer()
+        var part = readBody()
+        while (part != null) {
+            if (whole.size + part.size > maximumBytes) throw IOException("response body exceeds $maximumBytes bytes")
+            reservation.resize(whole.size + part.size)
+            whole.write(part)
+            part = readBody()
         }
-        return body.readByteArray()
+        return whole.readByteArray()
     }
 
     /** Closes the connection; the backend server then cancels its work for it. */
@@ -125,11 +122,9 @@
         throw ParserException("invalid status line: ${problem.message}").initCause(problem)
     }
 
-    private fun startBody(head: ResponseHead) {
-        bodyBytesRead = 0
-        chunkedBody = ChunkedBody(input)
+    private fun framingOf(head: ResponseHead): BodyFraming {
         val length = head.headers.allValues(CONTENT_LENGTH).distinct()
-        framing = when {
+        return when {
             head.status in STATUSES_WITHOUT_BODY -> BodyFraming.Length(0)
             head.headers.firstValue(TRANSFER_ENCODING)?.contains("chunked", ignoreCase = true) == true ->
                 BodyFraming.Chunked
@@ -138,32 +133,4 @@
             else -> BodyFraming.Length(length.single().toLongOrNull() ?: throw IOException("invalid Content-Length"))
         }
     }
-
-    private suspend fun readFixedLength(bytes: Long): ByteArray? {
-        if (bodyBytesRead == bytes) {
-            isReusable = true
-            return null
-        }
-        val wanted = minOf(BUFFER_BYTES.toLong(), bytes - bodyBytesRead).toInt()
-        val count = input.readAvailable(buffer, 0, wanted)
-        if (count < 0) throw EOFException("response body ended after $bodyBytesRead of $bytes bytes")
-        bodyBytesRead += count
-        return buffer.copyOf(count)
-    }
-
-    private suspend fun readChunked(): ByteArray? {
-        val bytes = readSome { chunkedBody.read(buffer) }
-        if (bytes == null) isReusable = true
-        return bytes
-    }
-
-    /** The bytes that [read] stores in [buffer], or null at the end. */
-    private suspend inline fun readSome(read: () -> Int): ByteArray? {
-        val count = try {
-            read()
-        } catch (problem: IOException) {
-            throw IOException("response body is incomplete", problem)
-        }
-        return if (count < 0) null else buffer.copyOf(count)
-    }
 }
