Take an answer without a length for whole only if its request was written whole

Cause: the kernel reports a reset once, to whoever asks first. Requests were written by a coroutine of Ktor's write channel, whose flush may return before all is written; where that coroutine got the report, the reader found the bytes that came before and then an ordinary end, and nothing asked how the writing had ended.

A broken write does not fail the attempt by itself: an answer that arrived whole with its length or chunks stays one. Such a connection is not used again.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptExecutor.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptExecutor.kt
@@ -105,7 +105,7 @@
             }
         }
 
-    /** Executes [attempt]; its stream is watched in [scope]. */
+    /** Executes [attempt]; the rest of its request is written, and its stream is watched, in [scope]. */
     private suspend fun <Result> executeIn(
         scope: CoroutineScope,
         attempt: AttemptRequest,
@@ -140,7 +140,7 @@
     ): AttemptResult = try {
         val request: BufferedRequest = protocol.writeRequest(attempt.request, attempt.context, attempt.body)
         withTimeoutOrNull(attempt.context.remainingMilliseconds) {
-            connection.send(request)
+            connection.send(request, scope)
             receive(connection, attempt, reservation, scope)
         } ?: AttemptResult.Failed(AttemptFailure.Interrupted, reason = "no_answer_in_time", faultyAddress = null)
     } catch (problem: StalledException) {
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/SocketChannels.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/SocketChannels.kt
@@ -95,10 +95,18 @@
 
     override val writeBuffer: Sink get() = pending
 
-    override suspend fun flush() {
-        while (!pending.exhausted()) {
+    /** Bytes that the socket has not taken yet. */
+    val pendingBytes: Long get() = pending.size
+
+    override suspend fun flush() = flushUntil(maximumPendingBytes = 0)
+
+    /** Writes what the socket takes, and waits only while more than [maximumPendingBytes] are left. */
+    suspend fun flushUntil(maximumPendingBytes: Long) {
+        var isBlocked = false
+        while (pending.size > maximumPendingBytes || !isBlocked && !pending.exhausted()) {
             cancelCause?.let { throw IOException("the channel was cancelled", it) }
-            if (send() == 0) readiness.await()
+            if (isBlocked) readiness.await()
+            isBlocked = send() == 0
         }
     }
 
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/ResponseBody.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/ResponseBody.kt
@@ -10,6 +10,8 @@
     val framing: BodyFraming,
     private val input: ByteReadChannel,
     private val buffer: ByteArray,
+    /** The request of the response. */
+    private val upload: RequestUpload,
 ) {
     private val chunks = ChunkedBody(input)
     private var bytesRead = 0L
@@ -18,7 +20,7 @@
     suspend fun read(): ByteArray? = when (framing) {
         is BodyFraming.Length -> readFixedLength(framing.bytes)
         BodyFraming.Chunked -> readSome { chunks.read(buffer) }
-        BodyFraming.UntilClose -> readSome { input.readAvailable(buffer, 0, buffer.size) }
+        BodyFraming.UntilClose -> readUntilClose()
     }
 
     private suspend fun readFixedLength(length: Long): ByteArray? {
@@ -30,6 +32,13 @@
         return buffer.copyOf(count)
     }
 
+    /** A connection that failed while the request was written can look as if the other side had closed it. */
+    private suspend fun readUntilClose(): ByteArray? {
+        val bytes = readSome { input.readAvailable(buffer, 0, buffer.size) }
+        if (bytes == null && !upload.awaitWhole()) throw IOException("connection ended before the request was written")
+        return bytes
+    }
+
     /** The bytes that [read] stores in [buffer], or null at the end. */
     private suspend inline fun readSome(read: () -> Int): ByteArray? {
         val count = try {
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -1,6 +1,7 @@
 package cassiaspindle.transport.relay
 
 import cassiaspindle.transport.peer.SocketReadChannel
+import cassiaspindle.transport.peer.SocketWriteChannel
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.cio.ParserException
@@ -9,8 +10,7 @@
 import io.ktor.http.cio.parseResponse
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.writePacket
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.io.Buffer
 import kotlinx.io.EOFException
 import kotlinx.io.IOException
@@ -44,9 +44,9 @@
     val address: String,
 ) {
     private val input = SocketReadChannel(socket, selector)
-    private val output = socket.openWriteChannel(autoFlush = false)
+    private val upload = RequestUpload(SocketWriteChannel(socket, selector))
     private val buffer = ByteArray(BUFFER_BYTES)
-    private var body = ResponseBody(BodyFraming.Length(0), input, buffer)
+    private var body = ResponseBody(BodyFraming.Length(0), input, buffer, upload)
     private var exchangeCount = 0
 
     /** Whether the whole body was read and the connection can be reused. */
@@ -63,8 +63,12 @@
     /** Whether bytes arrived, or the connection was closed, while no response was due. */
     val isStale: Boolean get() = input.hasReceived()
 
-    /** Sends [request]; throws [IOException] if the connection is broken. */
-    suspend fun send(request: BufferedRequest) {
+    /**
+     * Sends [request]. Returns once most of it is written; the rest is written in [scope], while the response is read.
+     *
+     * Does not fail if the connection is broken: the response may have arrived before.
+     */
+    suspend fun send(request: BufferedRequest, scope: CoroutineScope) {
         isFirstExchange = exchangeCount++ == 0
         isReusable = false
         val builder = RequestResponseBuilder()
@@ -72,8 +76,7 @@
         request.head.headers.forEach { builder.headerLine(it.name, it.value) }
         builder.emptyLine()
         if (request.body.isNotEmpty()) builder.bytes(request.body, 0, request.body.size)
-        output.writePacket(builder.build())
-        output.flush()
+        upload.start(builder.build(), scope)
     }
 
     /** Reads the response head; throws [IOException] if there is none. */
@@ -82,14 +85,14 @@
         val response = lines?.let { parse(it) } ?: throw EOFException("connection closed before a response")
         val head = ResponseHead(response.status, response.statusText.toString(), response.headers.toList())
         response.release()
-        body = ResponseBody(framingOf(head), input, buffer)
+        body = ResponseBody(framingOf(head), input, buffer, upload)
         return head
     }
 
     /** Reads a part of the body; returns null at its end; throws [IOException] if it is incomplete. */
     suspend fun readBody(): ByteArray? {
         val bytes = body.read()
-        if (bytes == null) isReusable = isDelimited
+        if (bytes == null) isReusable = isDelimited && upload.isWhole
         return bytes
     }
 
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnectionPool.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnectionPool.kt
@@ -6,6 +6,8 @@
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.tinylog.kotlin.Logger
@@ -99,14 +101,18 @@
         null
     }
 
-    private suspend fun exchange(connection: RunnerConnection, request: BufferedRequest): BufferedResponse = try {
-        connection.send(request)
-        bufferBudget.newReservation().use {
-            BufferedResponse(connection.readHead(), connection.readWholeBody(MAXIMUM_RESPONSE_BYTES, it))
+    private suspend fun exchange(connection: RunnerConnection, request: BufferedRequest): BufferedResponse =
+        coroutineScope {
+            try {
+                connection.send(request, scope = this)
+                bufferBudget.newReservation().use {
+                    BufferedResponse(connection.readHead(), connection.readWholeBody(MAXIMUM_RESPONSE_BYTES, it))
+                }
+            } finally {
+                connection.close()
+                coroutineContext.cancelChildren()
+            }
         }
-    } finally {
-        connection.close()
-    }
 
     private fun takeNewest(address: String): IdleConnection? =
         shards.withKey(address) { idle -> idle[address]?.removeLastOrNull() }
