Take an answer without a length for none if its connection is reset after the end

What callers saw: as in the fault before, but the runner closed its connection with unread bytes of the upload instead of resetting it at once; the part that it had sent was a complete answer to the caller.

Cause: such a close sends the end of the output and then the reset. By the time the reader finds the end, the socket has taken the whole upload, so that no write fails either, and a read after the end doesn't report the reset.

Change: after the end of a body without a length, RequestUpload asks whether the connection has failed, 20 ms later if the request had a body. Socket.hasFailed asks a selector of its own whether the connected channel is ready to connect, which only a failed one is: nothing is sent to a runner that ended in order, as a byte or the end of the output would be. (The JDK ignores the error that a shutdown of the output gets, ENOTCONN.)

--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/ResponseBody.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/ResponseBody.kt
@@ -32,10 +32,10 @@
         return buffer.copyOf(count)
     }
 
-    /** A connection that failed while the request was written can look as if the other side had closed it. */
+    /** A connection that failed while the request was sent can look as if the other side had closed it. */
     private suspend fun readUntilClose(): ByteArray? {
         val bytes = readSome { input.readAvailable(buffer, 0, buffer.size) }
-        if (bytes == null && !upload.awaitWhole()) throw IOException("connection ended before the request was written")
+        if (bytes == null && !upload.hasEndedInOrder()) throw IOException("connection failed under the request")
         return bytes
     }
 
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -2,6 +2,7 @@
 
 import cassiaspindle.transport.peer.SocketReadChannel
 import cassiaspindle.transport.peer.SocketWriteChannel
+import cassiaspindle.transport.peer.hasFailed
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.cio.ParserException
@@ -44,7 +45,7 @@
     val address: String,
 ) {
     private val input = SocketReadChannel(socket, selector)
-    private val upload = RequestUpload(SocketWriteChannel(socket, selector))
+    private val upload = RequestUpload(SocketWriteChannel(socket, selector), socket::hasFailed)
     private val buffer = ByteArray(BUFFER_BYTES)
     private var body = ResponseBody(BodyFraming.Length(0), input, buffer, upload)
     private var exchangeCount = 0
@@ -76,7 +77,7 @@
         request.head.headers.forEach { builder.headerLine(it.name, it.value) }
         builder.emptyLine()
         if (request.body.isNotEmpty()) builder.bytes(request.body, 0, request.body.size)
-        upload.start(builder.build(), scope)
+        upload.start(builder.build(), hasBody = request.body.isNotEmpty(), scope)
     }
 
     /** Reads the response head; throws [IOException] if there is none. */
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/UploadResetTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/UploadResetTest.kt
@@ -15,6 +15,20 @@
     fun `a response without a length whose connection is reset under the upload is not whole`() =
         expectNoneWhole(RunnerEnd.RESET)
 
+    @Test
+    fun `a response without a length that ends just before its connection is reset is not whole`() =
+        expectNoneWhole(RunnerEnd.END_THEN_RESET)
+
+    @Test
+    fun `a response without a length whose connection is reset after a short upload is not whole`() {
+        listOf(RunnerEnd.RESET, RunnerEnd.END_THEN_RESET).forEach { end ->
+            repeat(REPEATS) {
+                val script = RunnerScript(WITHOUT_LENGTH, end)
+                withClue("$end, try $it") { exchange.responseTo(script, SHORT_UPLOAD_BYTES) shouldBe null }
+            }
+        }
+    }
+
     @Test
     fun `a response without a length that ends in order after the upload was read is whole`() =
         (UPLOAD_BYTES + SHORT_UPLOAD_BYTES + 0).forEach { uploadBytes ->
