Take a head with a line that is no field for no message

Cause: heads were read by Ktor's parser alone, which refuses blanks, tabs and some control bytes in names, but neither DEL nor letters that are not ASCII, and no control bytes in values.

--- /dev/null
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/BrokenResponseTest.kt
@@ -0,0 +1,92 @@
+package cassiaspindle.transport.relay
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+
+/** Bytes of faulty runners that are no response. */
+class BrokenResponseTest : AnnotationSpec() {
+    private val exchange = TestExchange()
+
+    @AfterAll
+    fun stop() = exchange.close()
+
+    @Test
+    fun `a line of a head that is no field makes no response`() = expectNone(
+        listOf(
+            "Content-Length\u007f: 5",
+            "Content-Length : 5",
+            "Content-Length\t: 5",
+            "Content Length: 5",
+            "Content\u0000Length: 5",
+            "Content\u0001Length: 5",
+            "Content\u000bLength: 5",
+            "Content-L\u00e4nge: 5",
+            "(Content-Length): 5",
+            "\u007fX: a",
+            "X\u00e4: a",
+            "X\u0662: a",
+            "X\"Y: a",
+            "X: a\u0000b",
+            "X: a\u0001b",
+            "X: a\u007fb",
+            "X: a\u000bb",
+            "X: a\rb",
+            ": a",
+            " : a",
+            "a line without a colon",
+            "X: a\r\n folded",
+            "X: a\r\n\tfolded",
+            " X: a",
+        ).flatMap { line ->
+            listOf(line, "Content-Length: 5\r\n$line", "$line\r\nContent-Length: 5", "$CHUNKED\r\n$line")
+        }.map { "HTTP/1.1 200 OK\r\n$it\r\n\r\n5\r\nhello\r\n0\r\n\r\n" },
+    )
+
+    @Test
+    fun `sound responses are taken`() = expectHello(
+        listOf(
+            ANSWER,
+            "HTTP/1.1 200 OK\r\n\r\nhello",
+            "HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.0 200 OK\r\n\r\nhello",
+            "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 very\tfine \u00e4\r\ncontent-length:5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\nContent-Length: \t5 \t\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\nX:\r\nY: a\tb \u00e4 \"(,;)\"\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\n!#\$%&'*+-.^_`|~09azAZ: a:b\r\nContent-Length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n05;a=\"b\" ; c\r\nhello\r\n000\r\nX: a\r\nY:\r\n\r\n",
+        ),
+    )
+
+    private fun expectNone(responses: List<String>) {
+        val taken = responses.mapNotNull { bytes ->
+            exchange.responseTo(RunnerScript(bytes))?.let { "${bytes.printable()} -> ${it.printable()}" }
+        }
+        withClue(taken.joinToString("\n")) { taken.size shouldBe 0 }
+    }
+
+    private fun expectHello(responses: List<String>) = responses.forEach { bytes ->
+        withClue(bytes.printable()) {
+            val response = exchange.responseTo(RunnerScript(bytes))
+            response?.head?.status shouldBe 200
+            response?.body?.decodeToString() shouldBe "hello"
+        }
+    }
+
+    private fun BufferedResponse.printable(): String =
+        "${head.status}, ${body.size} bytes '${body.decodeToString().printable()}'"
+
+    private fun String.printable(): String =
+        map { if (it in ' '..'~') "$it" else "<%02x>".format(it.code) }.joinToString("").take(SHOWN_CHARACTERS)
+
+    private companion object {
+        const val ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+        const val CHUNKED = "Transfer-Encoding: chunked"
+        const val SHOWN_CHARACTERS = 160
+    }
+}
