Take a status line that RFC 9112 doesn't allow for none

What callers saw: a status line with two blanks before its status, or with a control byte in its reason, was the head of a complete answer.

Cause: the pattern in RunnerConnection took any white space between the parts, and anything in the reason.

Change: one blank between the parts, HTTP/1.x, a status from 100 to 599 in ASCII digits and, after another blank, the reason; the blank may be missing without a reason. readHead refuses control characters in the first line of a head in both directions.

Evidence: BrokenResponseTest sends 19 status lines; on those with two blanks, with NUL and with DEL in the reason were taken. Statuses such as 000 and 0200 were refused before; their tests stay.

--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/MessageHead.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/MessageHead.kt
@@ -36,8 +36,8 @@
 /**
  * Reads the lines of the next message head; returns null if the connection ends before it.
  *
- * Throws [ParserException] if a line after the first is no field: Ktor's parser accepts names and values with control
- * characters, and whoever reads the message after this process may read such a line otherwise.
+ * Throws [ParserException] if the first line has control characters or another one is no field: Ktor's parser accepts
+ * both, and whoever reads the message after this process may read such a line otherwise.
  * Throws an EOFException if the connection ends within a line: what was read of it is no whole line, even if it looks
  * like the blank line that ends a head.
  * Throws [ParserException] if the head exceeds [limits], so that a peer that sends bytes without end is cut off.
@@ -52,7 +52,8 @@
     var line = first
     while (!line.isNullOrEmpty()) {
         if (++lineCount > limits.maximumLines) throw ParserException("message head has too many lines")
-        if (lineCount > 1 && !line.isFieldLine()) throw ParserException("line $lineCount of a message head is no field")
+        val isValid = if (lineCount == 1) line.isText() else line.isFieldLine()
+        if (!isValid) throw ParserException("line $lineCount of a message head is malformed")
         onLine(line.length + LINE_END.length)
         text.append(line).append(LINE_END)
         line = readHeadLine(remaining = limits.maximumCharacters - text.length)
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -22,8 +22,11 @@
 private const val CONTENT_LENGTH = "content-length"
 private const val TRANSFER_ENCODING = "transfer-encoding"
 
-/** A status of three digits from 100 to 599; the parser accepts others, such as 600 and 0200. */
-private val STATUS_LINE = Regex("""HTTP/\S+\s+[1-5]\d{2}(\s.*)?""")
+/**
+ * A status line (RFC 9112, section 4) with a status from 100 to 599; the parser accepts others, such as 600 and 0200,
+ * and more blanks. Some servers leave out the blank before an empty reason.
+ */
+private val STATUS_LINE = Regex("""HTTP/1\.[0-9] [1-5][0-9]{2}( .*)?""")
 
 /** Statuses whose responses have no body. */
 private val STATUSES_WITHOUT_BODY = setOf(HttpStatusCode.NoContent.value, HttpStatusCode.NotModified.value)
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/BrokenResponseTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/BrokenResponseTest.kt
@@ -11,6 +11,31 @@
     @AfterAll
     fun stop() = exchange.close()
 
+    @Test
+    fun `a status line that is none makes no response`() = expectNone(
+        listOf(
+            "HTTP/1.1  200 OK",
+            "HTTP/1.1\t200 OK",
+            "HTTP/1.1 200\tOK",
+            "HTTP/1.1 200 O\u0000K",
+            "HTTP/1.1 200 O\u007fK",
+            "HTTP/1.1 200 O\rK",
+            "HTTP/1.1 000 OK",
+            "HTTP/1.1 099 OK",
+            "HTTP/1.1 600 OK",
+            "HTTP/1.1 20 OK",
+            "HTTP/1.1 0200 OK",
+            "HTTP/1.1 +20 OK",
+            "HTTP/1.1 \u0662\u0660\u0660 OK",
+            "HTTP/1.1 200OK",
+            " HTTP/1.1 200 OK",
+            "HTTP/2.0 200 OK",
+            "HTTP/1. 200 OK",
+            "http/1.1 200 OK",
+            "200 OK",
+        ).map { "$it\r\nContent-Length: 5\r\n\r\nhello" },
+    )
+
     @Test
     fun `a line of a head that is no field makes no response`() = expectNone(
         listOf(
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/RelayServerTest.kt
@@ -149,6 +149,7 @@
             "GET /a HTTP/1.1\r\nHost: h\r\nX\u007f: a\r\n\r\n",
             "GET /a HTTP/1.1\r\nHost: h\r\nX\u00e4: a\r\n\r\n",
             "GET /a HTTP/1.1\r\nHost: h\r\nX: a\u0000b\r\n\r\n",
+            "GET /a\u0000b HTTP/1.1\r\nHost: h\r\n\r\n",
             "no request at all\r\n\r\n",
             "GET /a HTTP/1.1\r\nX: ${"x".repeat(70_000)}\r\n\r\n",
             "GET /a HTTP/1.1\r\n${"X: y\r\n".repeat(15_000)}\r\n",
