Judge the framing of both directions in one place

Cause: requests and responses were judged by two functions. That of responses looked for the word in the first line and converted the length with toLongOrNull, which takes signs and other scripts; that of requests was stricter, but took digits of other scripts too, as Char.isDigit does, and the Kelvin sign for a k.

Change: framingOf judges both: lengths of ASCII digits that agree, or the coding chunked alone, on one line, without a length. The two callers differ in what a message without either has: a request no body, a response one up to the end of the connection. The headers must be valid also where the status has no body; HTTP/1.0 has no codings. A response with other headers is none: such a head is no HTTP answer (ParserException) instead of a broken connection.

--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestBody.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestBody.kt
@@ -15,18 +15,7 @@
 private val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".encodeToByteArray()
 
 /** How the end of a request body is determined; null if the headers are invalid or conflict. */
-internal fun requestFraming(headers: List<Header>): BodyFraming? {
-    val lengths = headers.allValues("content-length").distinct()
-    val encodings = headers.allValues("transfer-encoding")
-    val length = lengths.singleOrNull()?.takeIf { text -> text.all(Char::isDigit) }?.toLongOrNull()
-    return when {
-        encodings.isNotEmpty() -> BodyFraming.Chunked.takeIf {
-            lengths.isEmpty() && encodings.singleOrNull().equals("chunked", ignoreCase = true)
-        }
-        lengths.isEmpty() -> BodyFraming.Length(0)
-        else -> length?.let(BodyFraming::Length)
-    }
-}
+internal fun requestFraming(headers: List<Header>): BodyFraming? = framingOf(headers, unstated = BodyFraming.Length(0))
 
 /** The body of a request arrives too slowly. */
 class BodyTooSlowException : IOException("the body arrives too slowly")
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -19,8 +19,7 @@
 
 private const val BUFFER_BYTES = 8_192
 private const val HTTP_VERSION = "HTTP/1.1"
-private const val CONTENT_LENGTH = "content-length"
-private const val TRANSFER_ENCODING = "transfer-encoding"
+private const val VERSION_WITHOUT_CHUNKS = "HTTP/1.0"
 
 /**
  * A status line (RFC 9112, section 4) with a status from 100 to 599; the parser accepts others, such as 600 and 0200,
@@ -31,15 +30,6 @@
 /** Statuses whose responses have no body. */
 private val STATUSES_WITHOUT_BODY = setOf(HttpStatusCode.NoContent.value, HttpStatusCode.NotModified.value)
 
-/** How the end of a message body is determined. */
-internal sealed interface BodyFraming {
-    data class Length(val bytes: Long) : BodyFraming
-
-    data object Chunked : BodyFraming
-
-    data object UntilClose : BodyFraming
-}
-
 /** A connection to a backend server; it carries one request and response at a time. */
 class RunnerConnection internal constructor(
     private val socket: Socket,
@@ -85,11 +75,11 @@
 
     /** Reads the response head; throws [IOException] if there is none. */
     suspend fun readHead(): ResponseHead {
-        val lines = input.readHead()
-        val response = lines?.let { parse(it) } ?: throw EOFException("connection closed before a response")
+        val lines = input.readHead() ?: throw EOFException("connection closed before a response")
+        val response = parse(lines) ?: throw EOFException("connection closed before a response")
         val head = ResponseHead(response.status, response.statusText.toString(), response.headers.toList())
         response.release()
-        body = ResponseBody(framingOf(head), input, buffer, upload)
+        body = ResponseBody(responseFraming(head, lines.firstLine), input, buffer, upload)
         return head
     }
 
@@ -129,15 +119,11 @@
         throw ParserException("invalid status line: ${problem.message}").initCause(problem)
     }
 
-    private fun framingOf(head: ResponseHead): BodyFraming {
-        val length = head.headers.allValues(CONTENT_LENGTH).distinct()
-        return when {
-            head.status in STATUSES_WITHOUT_BODY -> BodyFraming.Length(0)
-            head.headers.firstValue(TRANSFER_ENCODING)?.contains("chunked", ignoreCase = true) == true ->
-                BodyFraming.Chunked
-            length.size > 1 -> throw IOException("response has conflicting Content-Length headers")
-            length.isEmpty() -> BodyFraming.UntilClose
-            else -> BodyFraming.Length(length.single().toLongOrNull() ?: throw IOException("invalid Content-Length"))
-        }
+    /** The headers must be valid also where the status allows no body. */
+    private fun responseFraming(head: ResponseHead, statusLine: String): BodyFraming {
+        val stated = framingOf(head.headers, unstated = BodyFraming.UntilClose)
+            ?.takeUnless { it == BodyFraming.Chunked && statusLine.startsWith(VERSION_WITHOUT_CHUNKS) }
+            ?: throw ParserException("invalid Content-Length or Transfer-Encoding")
+        return if (head.status in STATUSES_WITHOUT_BODY) BodyFraming.Length(0) else stated
     }
 }
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/BrokenResponseTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/BrokenResponseTest.kt
@@ -68,6 +68,43 @@
         }.map { "HTTP/1.1 200 OK\r\n$it\r\n\r\n5\r\nhello\r\n0\r\n\r\n" },
     )
 
+    @Test
+    fun `a length that is not of ASCII digits makes no response`() = expectNone(
+        listOf("+5", "-5", "-0", "\u0665", "\uff15", "0x5", "5a", "", "5 5", "5, 6", "5,5", "5.0", "5;", "9".repeat(20))
+            .map { "HTTP/1.1 200 OK\r\nContent-Length: $it\r\n\r\nhello" } +
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+    )
+
+    @Test
+    fun `transfer codings other than chunked alone make no response`() = expectNone(
+        listOf(
+            "xchunked",
+            "chunkedx",
+            "chunked, gzip",
+            "gzip, chunked",
+            "chunked, chunked",
+            "chunked;x=1",
+            "chunked,",
+            "chu\u0001nked",
+            "chun\u212aed",
+            "gzip",
+            "identity",
+            "",
+            "chunked\r\nTransfer-Encoding: gzip",
+            "chunked\r\nTransfer-Encoding: chunked",
+            "gzip\r\nTransfer-Encoding: chunked",
+            "chunked\r\nContent-Length: 3",
+            "chunked\r\nContent-Length: 15",
+        ).map { "HTTP/1.1 200 OK\r\nTransfer-Encoding: $it\r\n\r\n5\r\nhello\r\n0\r\n\r\n" } +
+            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    )
+
+    @Test
+    fun `a spoilt length makes no response either where the status has no body`() = expectNone(
+        listOf("Content-Length: +5", "Content-Length: 5\r\nContent-Length: 6", "Transfer-Encoding: gzip")
+            .flatMap { listOf("HTTP/1.1 204 No Content\r\n$it\r\n\r\n", "HTTP/1.1 304 Not Modified\r\n$it\r\n\r\n") },
+    )
+
     @Test
     fun `sound responses are taken`() = expectHello(
         listOf(
