Take chunks with a malformed size or trailer for none

What callers saw: a body whose chunk sizes had a sign, a blank before them or digits of another script, or whose trailers were no fields, was decoded and passed on as whole.

Cause: ChunkedBody converted sizes with toLongOrNull, which takes signs and other scripts, after trimming them, and counted trailers without a look at them.

Change: a size is of ASCII digits, with blanks after it at most, and extensions without control characters; a trailer is a field, by the check that heads have.

Evidence: BrokenResponseTest sends 18 bodies; 13 were taken on, none is now.

--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/ChunkedDecoder.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/ChunkedDecoder.kt
@@ -64,19 +64,25 @@
                 remaining = chunkSizeOf(line)
                 if (remaining > 0) Position.CHUNK else Position.TRAILER
             }
-            Position.TRAILER -> if (line.isEmpty()) Position.END else countTrailer()
+            Position.TRAILER -> if (line.isEmpty()) Position.END else skipTrailer(line)
             else -> position
         }
     }
 
-    private fun countTrailer(): Position {
+    private fun skipTrailer(line: String): Position {
         if (++trailers > MAXIMUM_TRAILERS) throw IOException("a chunked body has too many trailers")
+        if (!line.isFieldLine()) throw IOException("a trailer is no field")
         return Position.TRAILER
     }
 
-    private fun chunkSizeOf(line: String): Long =
-        line.substringBefore(';').trim().toLongOrNull(HEXADECIMAL)?.takeIf { it >= 0 }
-            ?: throw IOException("invalid chunk size")
+    /** The size is of ASCII digits without a sign (RFC 9112, section 7.1); extensions are ignored. */
+    private fun chunkSizeOf(line: String): Long {
+        val digits = line.takeWhile { it in '0'..'9' || it in 'a'..'f' || it in 'A'..'F' }
+        val rest = line.substring(digits.length).trimStart(' ', '\t')
+        val size = digits.toLongOrNull(HEXADECIMAL)
+        val isValid = (rest.isEmpty() || rest.startsWith(';')) && line.isText()
+        return size?.takeIf { isValid } ?: throw IOException("invalid chunk size")
+    }
 
     /** Reads a line without its end; consumes nothing before it is whole. */
     @OptIn(InternalAPI::class)
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/BrokenResponseTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/BrokenResponseTest.kt
@@ -105,6 +105,30 @@
             .flatMap { listOf("HTTP/1.1 204 No Content\r\n$it\r\n\r\n", "HTTP/1.1 304 Not Modified\r\n$it\r\n\r\n") },
     )
 
+    @Test
+    fun `chunks that are none make no response`() = expectNone(
+        listOf(
+            "+5\r\nhello\r\n0\r\n\r\n",
+            "5\r\nhello\r\n-0\r\n\r\n",
+            "5\r\nhello\r\n+0\r\n\r\n",
+            " 5\r\nhello\r\n0\r\n\r\n",
+            "\t5\r\nhello\r\n0\r\n\r\n",
+            "\u0665\r\nhello\r\n0\r\n\r\n",
+            "\uff15\r\nhello\r\n0\r\n\r\n",
+            "0x5\r\nhello\r\n0\r\n\r\n",
+            "5 5\r\nhello\r\n0\r\n\r\n",
+            "5;a=\u0000\r\nhello\r\n0\r\n\r\n",
+            "\r\nhello\r\n0\r\n\r\n",
+            "5\r\nhello\r\n0\r\na trailer without a colon\r\n\r\n",
+            "5\r\nhello\r\n0\r\nX\u0000: a\r\n\r\n",
+            "5\r\nhello\r\n0\r\nX: a\u0000\r\n\r\n",
+            "5\r\nhello\r\n0\r\nX : a\r\n\r\n",
+            "5\r\nhello\r\n0\r\n: a\r\n\r\n",
+            "5\r\nhello\r\n",
+            "5\r\nhello\r\n0\r\n",
+        ).map { "HTTP/1.1 200 OK\r\n$CHUNKED\r\n\r\n$it" },
+    )
+
     @Test
     fun `sound responses are taken`() = expectHello(
         listOf(
