Skip interim responses of runners

What callers saw: a runner that sent 100 Continue or 103 Early Hints before its answer, or answered with 101 or 199, had this taken for its answer, with the bytes that followed as its body.

Cause: RunnerConnection took the first head of any status from 100 for the final one.

Change: heads of interim responses (1xx but 101) are skipped, 16 of them at most before a final one; a switch of protocols, for which no request asks, is no answer.

--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -22,10 +22,16 @@
 private const val VERSION_WITHOUT_CHUNKS = "HTTP/1.0"
 
 /**
- * A status line (RFC 9112, section 4) with a status from 100 to 599; the parser accepts others, such as 600 and 0200,
- * and more blanks. Some servers leave out the blank before an empty reason.
+ * The status line (RFC 9112, section 4) of a final response, with a status from 200 to 599; the parser accepts others,
+ * such as 600 and 0200, and more blanks. Some servers leave out the blank before an empty reason.
  */
-private val STATUS_LINE = Regex("""HTTP/1\.[0-9] [1-5][0-9]{2}( .*)?""")
+private val STATUS_LINE = Regex("""HTTP/1\.[0-9] [2-5][0-9]{2}( .*)?""")
+
+/** The status line of an interim response; 101 is none, as no request asks for another protocol. */
+private val INTERIM_STATUS_LINE = Regex("""HTTP/1\.[0-9] 1(?!01)[0-9]{2}( .*)?""")
+
+/** Most interim responses before a final one; a peer that sends more is cut off. */
+private const val MAXIMUM_INTERIM_RESPONSES = 16
 
 /** Statuses whose responses have no body. */
 private val STATUSES_WITHOUT_BODY = setOf(HttpStatusCode.NoContent.value, HttpStatusCode.NotModified.value)
@@ -73,9 +79,17 @@
         upload.start(builder.build(), hasBody = request.body.isNotEmpty(), scope)
     }
 
-    /** Reads the response head; throws [IOException] if there is none. */
+    /**
+     * Reads the head of the final response, and skips those of interim ones; throws [IOException] or [ParserException]
+     * if there is none.
+     */
     suspend fun readHead(): ResponseHead {
-        val lines = input.readHead() ?: throw EOFException("connection closed before a response")
+        var interimCount = 0
+        var lines = readHeadLines()
+        while (INTERIM_STATUS_LINE.matches(lines.firstLine)) {
+            if (++interimCount > MAXIMUM_INTERIM_RESPONSES) throw ParserException("too many interim responses")
+            lines = readHeadLines()
+        }
         val response = parse(lines) ?: throw EOFException("connection closed before a response")
         val head = ResponseHead(response.status, response.statusText.toString(), response.headers.toList())
         response.release()
@@ -83,6 +97,9 @@
         return head
     }
 
+    private suspend fun readHeadLines(): HeadLines =
+        input.readHead() ?: throw EOFException("connection closed before a response")
+
     /** Reads a part of the body; returns null at its end; throws [IOException] if it is incomplete. */
     suspend fun readBody(): ByteArray? {
         val bytes = body.read()
--- a/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/BrokenResponseTest.kt
+++ b/transport/relay/src/test/kotlin/cassiaspindle/transport/relay/BrokenResponseTest.kt
@@ -129,6 +129,30 @@
         ).map { "HTTP/1.1 200 OK\r\n$CHUNKED\r\n\r\n$it" },
     )
 
+    @Test
+    fun `an interim response is none`() = expectNone(
+        listOf("100 Continue", "101 Switching Protocols", "102 Processing", "103 Early Hints", "199 X").flatMap {
+            listOf(
+                "HTTP/1.1 $it\r\n\r\n",
+                "HTTP/1.1 $it\r\nContent-Length: 5\r\n\r\nhello",
+                "HTTP/1.1 $it\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+            )
+        } + listOf(
+            "HTTP/1.1 101 Switching Protocols\r\n\r\n$ANSWER",
+            "HTTP/1.1 100 Continue\r\n\r\n".repeat(MANY) + ANSWER,
+        ),
+    )
+
+    @Test
+    fun `the response that follows interim ones is taken`() = expectHello(
+        listOf(
+            "HTTP/1.1 100 Continue\r\n\r\n$ANSWER",
+            "HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n$ANSWER",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n$ANSWER",
+            "HTTP/1.1 199 X\r\n\r\n$ANSWER",
+        ),
+    )
+
     @Test
     fun `sound responses are taken`() = expectHello(
         listOf(
@@ -173,6 +197,9 @@
         const val ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
 
         const val CHUNKED = "Transfer-Encoding: chunked"
+
+        /** More interim responses than any runner has a reason to send. */
+        const val MANY = 1_000
         const val SHOWN_CHARACTERS = 160
     }
 }
