Check the heads that the HTTP client of the own interface takes

What callers saw: answers of a plain service with a field line that is none, a reason with control characters, two codings, or a coding beside a length were taken as complete. A body that was cut before its length, a response without a length and an interim response that announced a body ended the call with an IllegalStateException that no caller of the client handles.

Cause: the client's only check was the range of the status; its parser takes more than HTTP allows, and it reports cut bodies by an exception that is no IOException.

Change: the validator of the client asks isWellFormed, which judges fields, reason and framing as for runners, and takes no status below 200 but the 101 of an upgrade that the request asked for. Exceptions that mean a broken response become an IOException, as callers of the client expect; cancellations stay as they are.

Evidence: BrokenServiceResponseTest before the change: 6 of 11 field lines, 3 of 3 reasons, 3 of 12 codings taken; three tests ended with an IllegalStateException (a length of one byte more or less, an interim response with a length). All pass now; LocalSystemTest, whose step streams ask for upgrades, and the tests of the routes pass too.

--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/HttpClients.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/HttpClients.kt
@@ -9,13 +9,9 @@
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
 import io.ktor.http.HttpHeaders
-import kotlinx.io.IOException
 
 private const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
 
-/** Statuses of answers; the parser of the client accepts others. */
-private const val FIRST_STATUS = 100
-private const val LAST_STATUS = 599
 private const val MAXIMUM_CONNECTIONS = 4_096
 
 /** Creates an HTTP client for callers, backend servers and operators; its owner closes it. */
@@ -23,10 +19,8 @@
     expectSuccess = false
     install(WebSockets)
     HttpResponseValidator {
-        validateResponse { response ->
-            val status = response.status.value
-            if (status !in FIRST_STATUS..LAST_STATUS) throw IOException("invalid status $status")
-        }
+        validateResponse(::requireWellFormed)
+        handleResponseException { cause, _ -> throw asConnectionProblem(cause) }
     }
     install(HttpTimeout) { connectTimeoutMillis = CONNECT_TIMEOUT_MILLISECONDS }
     engine {
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/BodyFraming.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/BodyFraming.kt
@@ -34,3 +34,9 @@
         else -> unstated
     }
 }
+
+/** Whether the reason and the fields of [head], which another parser has read, are valid, and its framing is clear. */
+fun isWellFormed(head: ResponseHead): Boolean =
+    head.reason.isText() &&
+        head.headers.all { "${it.name}:${it.value}".isFieldLine() } &&
+        framingOf(head.headers, unstated = BodyFraming.UntilClose) != null
