Read answers of plain services by the reader of runners' answers

What callers saw: an answer of a plain service whose chunks ended with the connection before the last one, or whose status was 0200 or stood behind two blanks, was taken as complete. An answer after 100 Continue was lost.

Cause: plain services were called by Ktor's client, whose decoder takes such an end for the end of the body and which hands on a status that is already parsed. A check after it can't see either: two readers of the same thing.

Change: PlainServiceClient exchanges messages by RunnerConnectionPool.tryExchange, on a new connection each as before, with the connect timeout of 1 s that it had. The result names what its outcomes need: not connected is not run, anything broken is unknown. An answer without a stated length is still none. New: an answer has 8 MB at most, and its bytes are reserved in the budget of bodies, so that a service that sends without end fails its call and not the process. WebSockets of runners and the clients of operators and announcements stay with Ktor's client.

--- a/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
+++ b/daemon/entry/src/main/kotlin/cassiaspindle/daemon/entry/EntryDaemon.kt
@@ -60,14 +60,15 @@
         selector,
         ::applyNews,
     )
-    private val resources = EffectResources(scope, timer, environment.clock, httpClient, PlainServiceClient(httpClient))
+    private val clientGuard = newClientGuard(settings.clientLimits, components.metrics, components::now)
+    private val plainServiceClient = PlainServiceClient(selector, clientGuard.bodyBudget, components::now)
+    private val resources = EffectResources(scope, timer, environment.clock, httpClient, plainServiceClient)
     private val executor = EffectExecutor(resources, components.controller, controlClient, components.sessions)
     private val callerHandler =
         CallerRequestHandler(components, executor, OrderReader(components.admission, controlClient))
     private val operatorHandlers = EntryOperatorHandlers(environment.keys.operator, components.metrics, ::drain)
     private val drained = CountDownLatch(1)
     private val listenEndpoint = HostAndPort.parse(settings.listenAddress)
-    private val clientGuard = newClientGuard(settings.clientLimits, components.metrics, components::now)
     private val httpServer = HttpServer.start(listenEndpoint, components.metrics, clientGuard) {
         callerRoutes(callerHandler.handlers())
         backEndRoutes(BackEndRequestHandler(components).handlers())
--- a/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/PlainServiceClient.kt
+++ b/transport/http/src/main/kotlin/cassiaspindle/transport/http/client/PlainServiceClient.kt
@@ -8,77 +8,100 @@
 import cassiaspindle.schema.ApplicationOrderStatus
 import cassiaspindle.schema.ErrorAnswer
 import cassiaspindle.schema.Execution
+import cassiaspindle.transport.relay.BufferBudget
+import cassiaspindle.transport.relay.BufferedRequest
+import cassiaspindle.transport.relay.BufferedResponse
+import cassiaspindle.transport.relay.ExchangeResult
+import cassiaspindle.transport.relay.Header
+import cassiaspindle.transport.relay.RequestHead
+import cassiaspindle.transport.relay.RunnerConnectionPool
 import com.github.michaelbull.result.get
-import io.ktor.client.HttpClient
-import io.ktor.client.network.sockets.ConnectTimeoutException
-import io.ktor.client.plugins.HttpRequestTimeoutException
-import io.ktor.client.plugins.timeout
-import io.ktor.client.request.get
-import io.ktor.client.request.header
-import io.ktor.client.request.parameter
-import io.ktor.client.request.post
-import io.ktor.client.request.setBody
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
-import io.ktor.http.cio.ParserException
-import io.ktor.http.contentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.encodeURLParameter
 import io.ktor.http.isSuccess
-import kotlinx.io.IOException
-import java.net.ConnectException
+import io.ktor.network.selector.SelectorManager
 
 private const val STATUS_TIMEOUT_MILLISECONDS = 2_000L
+private const val CONNECT_TIMEOUT_MILLISECONDS = 1_000L
+
+/** Maximum size of a response, in bytes. */
+private const val MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024
+
+/**
+ * Calls plain services and reports whether a failed call may have run.
+ *
+ * Connections are not reused, because a stale one could lose the call. [bufferBudget] holds the bytes of responses;
+ * [now] is monotonic time in milliseconds.
+ */
+class PlainServiceClient(selector: SelectorManager, bufferBudget: BufferBudget, now: () -> Long) {
+    private val connections = RunnerConnectionPool(selector, bufferBudget, now, CONNECT_TIMEOUT_MILLISECONDS)
 
-/** Calls plain services and reports whether a failed call may have run. */
-class PlainServiceClient(private val client: HttpClient) {
     /**
      * Sends [call] to [address] once.
      *
      * The result is [CallOutcome.NotRun] only if no connection was made or the service reports it, and
-     * [CallOutcome.Unknown] if the response is lost. The connection is not pooled, because a stale one could lose the
-     * call.
+     * [CallOutcome.Unknown] if the response is lost, broken or larger than 8 MB.
      */
-    suspend fun call(address: String, call: ApplicationCall, timeoutMilliseconds: Long): CallOutcome = try {
-        val response = client.post("http://$address/v1/calls") {
-            timeout { requestTimeoutMillis = timeoutMilliseconds.coerceAtLeast(1) }
-            header(HttpHeaders.Connection, "close")
-            contentType(ContentType.Application.Json)
-            setBody(encodeJson(call))
+    suspend fun call(address: String, call: ApplicationCall, timeoutMilliseconds: Long): CallOutcome {
+        val request = request(HttpMethod.Post, address, "/v1/calls", encodeJson(call).encodeToByteArray())
+        return when (val result = exchange(address, request, timeoutMilliseconds.coerceAtLeast(1))) {
+            is ExchangeResult.Answered -> outcomeOf(call, result.response)
+            ExchangeResult.NotConnected -> CallOutcome.NotRun
+            ExchangeResult.Failed -> CallOutcome.Unknown
         }
-        outcomeOf(call, response.status.isSuccess(), response.bodyAsText())
-    } catch (_: ConnectTimeoutException) {
-        CallOutcome.NotRun
-    } catch (_: ConnectException) {
-        CallOutcome.NotRun
-    } catch (_: HttpRequestTimeoutException) {
-        CallOutcome.Unknown
-    } catch (_: IOException) {
-        CallOutcome.Unknown
-    } catch (_: ParserException) {
-        CallOutcome.Unknown
     }
 
     /** Queries the service at [address] for an order; returns [CallOutcome.Unknown] unless it reports that it ran. */
-    suspend fun orderStatus(address: String, requestId: String): CallOutcome = try {
-        val response = client.get("http://$address/v1/order-status") {
-            timeout { requestTimeoutMillis = STATUS_TIMEOUT_MILLISECONDS }
-            parameter("requestId", requestId)
-        }
-        val status = decodeJson<ApplicationOrderStatus>(response.bodyAsText()).get()
+    suspend fun orderStatus(address: String, requestId: String): CallOutcome {
+        val target = "/v1/order-status?requestId=${requestId.encodeURLParameter()}"
+        val result = exchange(address, request(HttpMethod.Get, address, target), STATUS_TIMEOUT_MILLISECONDS)
+        val response = (result as? ExchangeResult.Answered)?.response
+        val status = response?.let { decodeJson<ApplicationOrderStatus>(it.text).get() }
         val output = status?.takeIf { it.known && it.requestId == requestId }?.output
-        if (output == null) CallOutcome.Unknown else CallOutcome.Answered(output)
-    } catch (_: IOException) {
-        CallOutcome.Unknown
-    } catch (_: ParserException) {
-        CallOutcome.Unknown
+        return if (output == null) CallOutcome.Unknown else CallOutcome.Answered(output)
+    }
+
+    /** Services state the length of their responses or send them in chunks; a response without either is none. */
+    private suspend fun exchange(
+        address: String,
+        request: BufferedRequest,
+        timeoutMilliseconds: Long,
+    ): ExchangeResult {
+        val result = connections.tryExchange(address, request, timeoutMilliseconds, MAXIMUM_RESPONSE_BYTES)
+        val isUndelimited = (result as? ExchangeResult.Answered)?.response?.isDelimited == false
+        return if (isUndelimited) ExchangeResult.Failed else result
+    }
+
+    private fun request(
+        method: HttpMethod,
+        address: String,
+        target: String,
+        body: ByteArray = ByteArray(0),
+    ): BufferedRequest {
+        val headers = listOf(
+            Header(HttpHeaders.Host, address),
+            Header(HttpHeaders.Accept, ContentType.Application.Json.toString()),
+            Header(HttpHeaders.Connection, "close"),
+        )
+        val bodyHeaders = listOf(
+            Header(HttpHeaders.ContentType, ContentType.Application.Json.toString()),
+            Header(HttpHeaders.ContentLength, body.size.toString()),
+        )
+        val allHeaders = if (body.isEmpty()) headers else headers + bodyHeaders
+        return BufferedRequest(RequestHead(method.value, target, allHeaders), body)
     }
 
-    private fun outcomeOf(call: ApplicationCall, succeeded: Boolean, text: String): CallOutcome {
-        if (!succeeded) {
-            val error = decodeJson<ErrorAnswer>(text).get()
+    private fun outcomeOf(call: ApplicationCall, response: BufferedResponse): CallOutcome {
+        if (!HttpStatusCode.fromValue(response.head.status).isSuccess()) {
+            val error = decodeJson<ErrorAnswer>(response.text).get()
             return if (error?.execution == Execution.NOT_RUN) CallOutcome.NotRun else CallOutcome.Unknown
         }
-        val answer = decodeJson<ApplicationAnswer>(text).get()
+        val answer = decodeJson<ApplicationAnswer>(response.text).get()
         return if (answer?.requestId == call.requestId) CallOutcome.Answered(answer.output) else CallOutcome.Unknown
     }
+
+    private val BufferedResponse.text: String get() = body.decodeToString()
 }
--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/BrokenServiceResponseTest.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/BrokenServiceResponseTest.kt
@@ -3,16 +3,24 @@
 import cassiaspindle.codec.encodeJson
 import cassiaspindle.entry.request.CallOutcome
 import cassiaspindle.schema.ApplicationAnswer
+import cassiaspindle.transport.http.client.newHttpClient
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import kotlinx.io.IOException
 
-/** Guards against bytes of faulty plain services that are no response. */
+/** Guards against bytes of faulty plain services, and of other servers of the own interface, that are no response. */
 class BrokenServiceResponseTest : AnnotationSpec() {
-    private val service = RawService()
+    private val service = TestPlainServiceClient()
+    private val httpClient = newHttpClient()
 
     @AfterAll
-    fun stop() = service.close()
+    fun stop() {
+        service.close()
+        httpClient.close()
+    }
 
     @Test
     fun `a line of a head that is no field makes no response`() = expectNone(
@@ -31,6 +39,21 @@
         ).map { "HTTP/1.1 200 OK\r\n$it\r\nContent-Length: $LENGTH\r\n\r\n$ANSWER" },
     )
 
+    @Test
+    fun `a status line that is none makes no response`() = expectNone(
+        listOf(
+            "HTTP/1.1  200 OK",
+            "HTTP/1.1\t200 OK",
+            "HTTP/1.1 200\tOK",
+            "HTTP/1.1 0200 OK",
+            "HTTP/1.1 +200 OK",
+            "HTTP/1.1 000 OK",
+            "HTTP/1.1 600 OK",
+            "HTTP/2.0 200 OK",
+        ).map { "$it\r\nContent-Length: $LENGTH\r\n\r\n$ANSWER" },
+        isLeftToHttpClient = { it.startsWith("HTTP/1.1  200") || it.startsWith("HTTP/1.1 0200") },
+    )
+
     @Test
     fun `a reason with control characters makes no response`() = expectNone(
         listOf("O\u0000K", "O\u0001K", "O\u007fK").map { "HTTP/1.1 200 $it\r\nContent-Length: $LENGTH\r\n\r\n$ANSWER" },
@@ -75,8 +98,10 @@
             "0x$SIZE\r\n$ANSWER\r\n0\r\n\r\n",
             "$SIZE\r\n$ANSWER\r\n0\r\na trailer without a colon\r\n\r\n",
             "$SIZE\r\n$ANSWER",
+            "$SIZE\r\n$ANSWER\r\n",
             "$SIZE\r\n$ANSWER\r\n0\r\n",
         ).map { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n$it" },
+        isLeftToHttpClient = { it.endsWith("$ANSWER\r\n") },
     )
 
     @Test
@@ -99,15 +124,25 @@
         "HTTP/1.1 200 OK\r\nContent-Length: $LENGTH\r\nContent-Length: $LENGTH\r\n\r\n$ANSWER",
         "HTTP/1.1 200 OK\r\nX: a\tb \u00e4\r\nY:\r\ncontent-length:$LENGTH\r\n\r\n$ANSWER",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n$WHOLE_CHUNKS",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: $LENGTH\r\n\r\n$ANSWER",
     ).forEach { response ->
         withClue(response.printable()) { service.outcomeOf(response) shouldBe CallOutcome.Answered("out") }
     }
 
-    private fun expectNone(responses: List<String>) {
-        val outcomes = responses.map { it to service.outcomeOf(it) }
-        val taken = outcomes.filter { (_, outcome) -> outcome != CallOutcome.Unknown }
-        withClue(taken.joinToString("\n") { (response, outcome) -> "${response.printable()} -> $outcome" }) {
-            taken.size shouldBe 0
+    /** Expects that neither client takes any of [responses], except those that [isLeftToHttpClient] accepts. */
+    private fun expectNone(responses: List<String>, isLeftToHttpClient: (String) -> Boolean = { false }) {
+        val takenForAnswers = responses.filter { service.outcomeOf(it) != CallOutcome.Unknown }
+        val takenByHttpClient = responses.filterNot(isLeftToHttpClient).filter { textOf(it) != null }
+        withClue(takenForAnswers.joinToString("\n") { it.printable() }) { takenForAnswers.size shouldBe 0 }
+        withClue(takenByHttpClient.joinToString("\n") { it.printable() }) { takenByHttpClient.size shouldBe 0 }
+    }
+
+    /** The body of [response], or null if the HTTP client fails as its callers expect. */
+    private fun textOf(response: String): String? = withRawService(response) { address ->
+        try {
+            httpClient.get("http://$address/").bodyAsText()
+        } catch (_: IOException) {
+            null
         }
     }
 
--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/PlainServiceStatusTest.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/PlainServiceStatusTest.kt
@@ -11,7 +11,7 @@
 
 /** Guards against answers of faulty plain services whose status is none. */
 class PlainServiceStatusTest : AnnotationSpec() {
-    private val service = RawService()
+    private val service = TestPlainServiceClient()
 
     @AfterAll
     fun stop() = service.close()
--- a/transport/http/src/test/kotlin/cassiaspindle/transport/http/RawService.kt
+++ b/transport/http/src/test/kotlin/cassiaspindle/transport/http/RawService.kt
@@ -1,22 +1,18 @@
 package cassiaspindle.transport.http
 
-import cassiaspindle.entry.request.CallOutcome
-import cassiaspindle.schema.ApplicationCall
-import cassiaspindle.transport.http.client.PlainServiceClient
-import cassiaspindle.transport.http.client.newHttpClient
 import kotlinx.coroutines.runBlocking
 import java.net.InetAddress
 import java.net.ServerSocket
 import kotlin.concurrent.thread
 
-/** Calls plain services that respond with raw bytes, each on a connection of its own. */
-internal class RawService : AutoCloseable {
-    private val client = newHttpClient()
+private const val REQUEST_BYTES = 8_192
 
-    override fun close() = client.close()
-
-    /** The outcome of a call with the id r1 to a service that responds with [response] and ends the connection. */
-    fun outcomeOf(response: String): CallOutcome = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+/**
+ * Runs [exchange] with the address of a service that reads one request, responds with [response] and ends the
+ * connection; returns its result.
+ */
+internal fun <Value> withRawService(response: String, exchange: suspend (address: String) -> Value): Value =
+    ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
         thread(isDaemon = true) {
             runCatching {
                 server.accept().use { socket ->
@@ -27,12 +23,5 @@
                 }
             }
         }
-        val call = ApplicationCall(requestId = "r1", call = "call", body = "in")
-        runBlocking { PlainServiceClient(client).call("127.0.0.1:${server.localPort}", call, TIMEOUT_MILLISECONDS) }
-    }
-
-    private companion object {
-        const val REQUEST_BYTES = 8_192
-        const val TIMEOUT_MILLISECONDS = 5_000L
+        runBlocking { exchange("127.0.0.1:${server.localPort}") }
     }
-}
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/Message.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/Message.kt
@@ -23,7 +23,12 @@
 data class ResponseHead(val status: Int, val reason: String, val headers: List<Header>)
 
 /** A response whose body is held in memory. */
-class BufferedResponse(val head: ResponseHead, val body: ByteArray)
+class BufferedResponse(
+    val head: ResponseHead,
+    val body: ByteArray,
+    /** Whether the response stated where its body ends, and did not end with its connection. */
+    val isDelimited: Boolean = true,
+)
 
 /** The first value of the header [name], or null. */
 fun List<Header>.firstValue(name: String): String? = firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnectionPool.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnectionPool.kt
@@ -14,7 +14,7 @@
 import java.util.concurrent.atomic.AtomicLong
 
 private const val SHARDS = 8
-private const val CONNECT_TIMEOUT_MILLISECONDS = 500L
+private const val DEFAULT_CONNECT_TIMEOUT_MILLISECONDS = 500L
 
 /** Share of a backend server's idle timeout within which an idle connection is reused, in percent. */
 private const val USABLE_PERCENT = 60L
@@ -23,12 +23,25 @@
 /** Maximum size of the response to a report request or an order, in bytes. */
 private const val MAXIMUM_RESPONSE_BYTES = 1024 * 1024
 
+/** How an exchange on a new connection has ended. */
+sealed interface ExchangeResult {
+    /** The whole response was received. */
+    class Answered(val response: BufferedResponse) : ExchangeResult
+
+    /** No connection was made, so that nothing was sent. */
+    data object NotConnected : ExchangeResult
+
+    /** The connection failed, or no valid response arrived in time; the request may have been received. */
+    data object Failed : ExchangeResult
+}
+
 /** Pool of idle connections to backend servers, sharded by address. */
 class RunnerConnectionPool(
     private val selector: SelectorManager,
     /** Limits the bytes of all responses that are held in memory. */
     val bufferBudget: BufferBudget,
     private val now: () -> Long,
+    private val connectTimeoutMilliseconds: Long = DEFAULT_CONNECT_TIMEOUT_MILLISECONDS,
 ) {
     private val shards = Sharded(SHARDS) { mutableMapOf<String, ArrayDeque<IdleConnection>>() }
     private val openedCount = AtomicLong()
@@ -48,8 +61,8 @@
 
     /** Opens a connection to [address]; throws [IOException] if that fails or times out or the address is invalid. */
     suspend fun open(address: String): RunnerConnection {
-        val socket = withTimeoutOrNull(CONNECT_TIMEOUT_MILLISECONDS) { connect(address) }
-            ?: throw IOException("connecting to $address took longer than $CONNECT_TIMEOUT_MILLISECONDS ms")
+        val socket = withTimeoutOrNull(connectTimeoutMilliseconds) { connect(address) }
+            ?: throw IOException("connecting to $address took longer than $connectTimeoutMilliseconds ms")
         openedCount.incrementAndGet()
         return RunnerConnection(socket, selector, address)
     }
@@ -75,8 +88,29 @@
         address: String,
         request: BufferedRequest,
         timeoutMilliseconds: Long,
-    ): BufferedResponse? =
-        withTimeoutOrNull(timeoutMilliseconds) { runCatchingProtocolErrors { exchange(open(address), request) } }
+    ): BufferedResponse? {
+        val result = tryExchange(address, request, timeoutMilliseconds, MAXIMUM_RESPONSE_BYTES)
+        return (result as? ExchangeResult.Answered)?.response
+    }
+
+    /**
+     * Sends [request] on a new connection, and waits [timeoutMilliseconds] at most for a response whose body has
+     * [maximumResponseBytes] at most.
+     */
+    suspend fun tryExchange(
+        address: String,
+        request: BufferedRequest,
+        timeoutMilliseconds: Long,
+        maximumResponseBytes: Int,
+    ): ExchangeResult = withTimeoutOrNull(timeoutMilliseconds) {
+        val connection = openOrNull(address)
+        if (connection == null) {
+            ExchangeResult.NotConnected
+        } else {
+            runCatchingProtocolErrors { exchange(connection, request, maximumResponseBytes) }
+                ?.let(ExchangeResult::Answered)
+        }
+    } ?: ExchangeResult.Failed
 
     /**
      * Whether [address] accepts a connection and does anything but stay silent for [timeoutMilliseconds] after
@@ -85,34 +119,29 @@
     suspend fun isReachable(address: String, request: BufferedRequest, timeoutMilliseconds: Long): Boolean =
         withTimeoutOrNull(timeoutMilliseconds) {
             val connection = openOrNull(address)
-            connection?.let { runCatchingProtocolErrors { exchange(it, request) } }
+            connection?.let { runCatchingProtocolErrors { exchange(it, request, MAXIMUM_RESPONSE_BYTES) } }
             connection != null
         } ?: false
 
     private suspend fun openOrNull(address: String): RunnerConnection? = runCatchingProtocolErrors { open(address) }
 
-    private suspend fun <Value> runCatchingProtocolErrors(action: suspend () -> Value): Value? = try {
-        action()
-    } catch (problem: IOException) {
-        Logger.debug { "event=exchange_failed reason=${problem.javaClass.simpleName}" }
-        null
-    } catch (problem: ParserException) {
-        Logger.debug { "event=exchange_failed reason=${problem.javaClass.simpleName}" }
-        null
-    }
-
-    private suspend fun exchange(connection: RunnerConnection, request: BufferedRequest): BufferedResponse =
-        coroutineScope {
-            try {
-                connection.send(request, scope = this)
-                bufferBudget.newReservation().use {
-                    BufferedResponse(connection.readHead(), connection.readWholeBody(MAXIMUM_RESPONSE_BYTES, it))
-                }
-            } finally {
-                connection.close()
-                coroutineContext.cancelChildren()
+    private suspend fun exchange(
+        connection: RunnerConnection,
+        request: BufferedRequest,
+        maximumResponseBytes: Int,
+    ): BufferedResponse = coroutineScope {
+        try {
+            connection.send(request, scope = this)
+            bufferBudget.newReservation().use {
+                val head = connection.readHead()
+                val body = connection.readWholeBody(maximumResponseBytes, it)
+                BufferedResponse(head, body, connection.isDelimited)
             }
+        } finally {
+            connection.close()
+            coroutineContext.cancelChildren()
         }
+    }
 
     private fun takeNewest(address: String): IdleConnection? =
         shards.withKey(address) { idle -> idle[address]?.removeLastOrNull() }
@@ -123,3 +152,14 @@
             usableUntilMilliseconds > nowMilliseconds && !connection.isStale
     }
 }
+
+/** The value of [action], or null if it fails as an exchange does. */
+private suspend fun <Value> runCatchingProtocolErrors(action: suspend () -> Value): Value? = try {
+    action()
+} catch (problem: IOException) {
+    Logger.debug { "event=exchange_failed reason=${problem.javaClass.simpleName}" }
+    null
+} catch (problem: ParserException) {
+    Logger.debug { "event=exchange_failed reason=${problem.javaClass.simpleName}" }
+    null
+}
