Name the remainder of a request, and what a failed probe of a connection means

Cause: read as a newcomer would, "rest" in the names of RequestUpload reads as a kind of interface, and Socket.hasFailed did not say what it returns where the state can't be read. Change: names and comments only.

--- a/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptExecutor.kt
+++ b/daemon/relay/src/main/kotlin/cassiaspindle/daemon/relay/request/AttemptExecutor.kt
@@ -105,7 +105,7 @@
             }
         }
 
-    /** Executes [attempt]; the rest of its request is written, and its stream is watched, in [scope]. */
+    /** Executes [attempt]; the remainder of its request is written, and its stream is watched, in [scope]. */
     private suspend fun <Result> executeIn(
         scope: CoroutineScope,
         attempt: AttemptRequest,
--- a/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/ConnectionFailure.kt
+++ b/transport/peer/src/main/kotlin/cassiaspindle/transport/peer/ConnectionFailure.kt
@@ -7,11 +7,11 @@
 import java.nio.channels.Selector
 
 /**
- * Whether this connection was reset or is closed. A read does not show a reset that follows the end of the other
- * side's output, and a write would send bytes to one that has not failed.
+ * Whether this connection was reset or is closed, or its state can't be read; never waits.
  *
- * Reads the state of the connection once and never waits. A connected channel is not ready to connect, but one that has
- * failed (EPOLLERR, EPOLLHUP) is ready for all that a selector asks for.
+ * A read does not show a reset that follows the end of the other side's output, and a write would send bytes if there
+ * was none. A selector shows it: a connected channel is not ready to connect, but one that has failed (EPOLLERR,
+ * EPOLLHUP) is ready for all that is asked for.
  */
 fun Socket.hasFailed(): Boolean = try {
     Selector.open().use { selector ->
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestUpload.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RequestUpload.kt
@@ -14,8 +14,8 @@
 /** Bytes of a request that may be unwritten while its response is awaited. */
 private const val MAXIMUM_UNWRITTEN_BYTES = 1024 * 1024L
 
-/** Time limit for the rest of a request to be written after the connection has ended, in milliseconds. */
-private const val REST_TIMEOUT_MILLISECONDS = 500L
+/** Time limit for the remainder of a request to be written after the connection has ended, in milliseconds. */
+private const val REMAINDER_TIMEOUT_MILLISECONDS = 500L
 
 /** Time within which the reset of a connection follows its end, in milliseconds. */
 private const val RESET_DELAY_MILLISECONDS = 20L
@@ -37,31 +37,32 @@
     private var state = State.WRITING
 
     /** Writes what [start] has left; null if it has left nothing. */
-    private var rest: Job? = null
-
-    /** Whether the socket has taken the whole request. */
-    val isWhole: Boolean get() = state == State.WHOLE
+    private var remainder: Job? = null
 
     /** Whether the request has a body, which a peer can leave unread. */
     private var hasBody = false
 
-    /** Writes most of [request], and the rest in [scope]. */
+    /** Whether the socket has taken the whole request. */
+    val isWhole: Boolean get() = state == State.WHOLE
+
+    /** Writes most of [request], and the remainder in [scope]. */
     @OptIn(InternalAPI::class)
     suspend fun start(request: Source, hasBody: Boolean, scope: CoroutineScope) {
         state = State.WRITING
         this.hasBody = hasBody
         output.writeBuffer.transferFrom(request)
         write(MAXIMUM_UNWRITTEN_BYTES)
-        rest = if (state == State.WRITING) scope.launch { write(maximumUnwrittenBytes = 0) } else null
+        remainder = if (state == State.WRITING) scope.launch { write(maximumUnwrittenBytes = 0) } else null
     }
 
     /**
-     * Whether the request was written whole and nothing failed on the connection, whose end was received. Waits a short
-     * time for the rest of the request, and for a reset: a peer that closes a connection with unread bytes sends its
-     * end first.
+     * Whether the request was written whole and nothing failed on the connection, whose end was received.
+     *
+     * Waits a short time for the remainder of the request, and for a reset: a peer that closes a connection with unread
+     * bytes sends its end first.
      */
     suspend fun hasEndedInOrder(): Boolean {
-        withTimeoutOrNull(REST_TIMEOUT_MILLISECONDS) { rest?.join() }
+        withTimeoutOrNull(REMAINDER_TIMEOUT_MILLISECONDS) { remainder?.join() }
         if (isWhole && hasBody) delay(RESET_DELAY_MILLISECONDS)
         return isWhole && !hasConnectionFailed()
     }
--- a/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
+++ b/transport/relay/src/main/kotlin/cassiaspindle/transport/relay/RunnerConnection.kt
@@ -64,7 +64,8 @@
     val isStale: Boolean get() = input.hasReceived()
 
     /**
-     * Sends [request]. Returns once most of it is written; the rest is written in [scope], while the response is read.
+     * Sends [request]. Returns once most of it is written; the remainder is written in [scope] while the response is
+     * read.
      *
      * Does not fail if the connection is broken: the response may have arrived before.
      */
