--- a/review/standin-2/Configurations.java
+++ b/review/standin-2/Configurations.java
@@ -41,6 +41,17 @@
             + "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Tenants\":" + tenants + "}";
     }
 
+    /** Like {@link #of}, with a second plain service and a route of {@code host} that is split between both by {@code weights}. */
+    static String withSplit(long version, String tenants, int timeoutMillis, String host, String[] weights) {
+        String split = route("split", "non_idempotent", timeoutMillis, 1).replace("\"Service\":\"line-app\"",
+            "\"TrafficSplit\":[{\"Service\":\"line-app\",\"Weight\":" + weights[0]
+                + "},{\"Service\":\"line-app-next\",\"Weight\":" + weights[1] + "}]");
+        return of(version, tenants, timeoutMillis)
+            .replace("\"Routes\":[", "\"Routes\":[" + split.replace("site.example", host) + ",")
+            .replace("\"Services\":[", "\"Services\":[{\"Name\":\"line-app-next\",\"HealthPath\":\"/healthz\","
+                + "\"MaxConnections\":998,\"Protocol\":\"h1\",\"Tls\":false},");
+    }
+
     private static String route(String name, String kind, int timeoutMillis, int attempts) {
         return "{\"Name\":\"r-" + name + "\",\"Host\":\"site.example\",\"PathPrefix\":\"/" + name + "/\",\"Kind\":\"" + kind
             + "\",\"TimeoutMs\":" + timeoutMillis + ",\"TargetLatencyMs\":1000,\"Priority\":1,\"Service\":\"line-app\","
--- a/review/standin-2/Runners.java
+++ b/review/standin-2/Runners.java
@@ -55,6 +55,12 @@
     volatile Consumer<Run> onRun = run -> { };
 
     Runners(String service, int slots, int workMillis, List<String> controls) throws IOException {
+        this(service, slots, workMillis, controls, 0);
+    }
+
+    /** The runners take addresses from the host number {@code firstHost} on. */
+    Runners(String service, int slots, int workMillis, List<String> controls, int firstHost) throws IOException {
+        nextHost.set(firstHost);
         this.service = service;
         this.slots = slots;
         this.workMillis = workMillis;
